--- /dev/null
+++ b/appleshift/__main__.py
@@ -0,0 +1,7 @@
+"""``python -m appleshift``."""
+
+import sys
+
+from appleshift.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/appleshift/bookkeeping/journal.py
@@ -0,0 +1,302 @@
+"""The write-ahead log in the state service, its snapshots and its clean-up.
+
+Sans-IO: the journal says which transaction to send next and is told what became
+of it. One transaction is under way at a time, and the same one is sent again
+until its outcome is known, so the order of records is the order of their keys.
+
+Keys::
+
+    log/<n>               a batch of records
+    snap/<generation>/<n> a page of records that rebuild the live state
+    final/<n>             a page of ended jobs, written once
+    meta                  the snapshot in force and where the log goes on
+
+A snapshot counts only once ``meta`` names it: an interrupted one is just keys
+to be cleaned up.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from appleshift.protocol import state
+from appleshift.protocol.wire import json_size
+
+META = "meta"
+LOG = "log/"
+SNAP = "snap/"
+FINAL = "final/"
+TXN_BYTES = 60 * 1024
+"""Below the service's 64 KiB, to leave room for guards and framing."""
+
+Record = list[Any]
+
+
+def log_key(number: int) -> str:
+    return f"{LOG}{number:012d}"
+
+
+def snap_key(generation: int, page: int) -> str:
+    return f"{SNAP}{generation:08d}/{page:06d}"
+
+
+def final_key(number: int) -> str:
+    return f"{FINAL}{number:08d}"
+
+
+@dataclass(slots=True)
+class Bucket:
+    """A rate with bursts of one second's worth."""
+
+    rate: float
+    level: float = 0.0
+    at: float = 0.0
+
+    def fill(self, now: float) -> float:
+        if now > self.at:
+            self.level = min(self.rate, self.level + (now - self.at) * self.rate)
+            self.at = now
+        return self.level
+
+
+@dataclass(slots=True)
+class Txn:
+    """A transaction to send, and to send again until its outcome is known."""
+
+    guards: list[dict[str, Any]]
+    changes: list[dict[str, Any]]
+    probe: str
+    """The key whose presence, with ``mark`` in it, shows that it was applied."""
+    mark: str
+    urgent: bool = True
+
+
+@dataclass(slots=True)
+class Meta:
+    generation: int = 0
+    pages: int = 0
+    log_from: int = 1
+    finals: int = 0
+
+    def value(self, mark: str) -> dict[str, Any]:
+        return {
+            "generation": self.generation,
+            "pages": self.pages,
+            "log_from": self.log_from,
+            "finals": self.finals,
+            "mark": mark,
+        }
+
+
+@dataclass(slots=True)
+class _Pending:
+    record: Record | None
+    size: int
+    then: Callable[[], None] | None
+
+
+@dataclass(slots=True)
+class _Chore:
+    """A change that can wait: snapshot pages and deletes."""
+
+    changes: list[dict[str, Any]]
+    probe: str
+    mark: str
+    then: Callable[[], None] | None = None
+
+
+@dataclass
+class Journal:
+    """What is to be written, in order."""
+
+    leader_key: str
+    leader_version: int
+    term_mark: str
+    write_rps: float
+    value_bytes: int
+    txn_ops: int
+    meta: Meta
+    meta_version: int
+    next_log: int
+    now: float = 0.0
+    log_bytes: int = 0
+    bucket: Bucket = field(init=False)
+    _queue: deque[_Pending] = field(default_factory=deque)
+    _chores: deque[_Chore] = field(default_factory=deque)
+    _flying: list[_Pending] | None = None
+    _flying_chore: _Chore | None = None
+    _txn: Txn | None = None
+    _serial: int = 0
+    snapshotting: bool = False
+
+    def __post_init__(self) -> None:
+        # The limit is the service's, not ours alone: a leader before us may
+        # have spent this second's burst.
+        self.bucket = Bucket(self.write_rps, self.write_rps * 0.5, self.now)
+
+    # -- what is to be written -------------------------------------------
+
+    def append(self, record: Record | None, then: Callable[[], None] | None = None) -> None:
+        """Write a record; ``then`` runs once it is durable.
+
+        Without a record, ``then`` runs once everything before it is durable.
+        """
+        if record is None and not self._queue and self._flying is None:
+            if then is not None:
+                then()
+            return
+        size = 0 if record is None else json_size(record) + 1
+        if size > self.value_bytes - 200:
+            raise ValueError(f"record of {size} bytes does not fit a value")
+        self._queue.append(_Pending(record, size, then))
+
+    def fits(self, record: Record) -> bool:
+        return json_size(record) + 1 <= self.value_bytes - 200
+
+    def backlog(self) -> int:
+        return len(self._queue) + len(self._flying or ())
+
+    def idle(self) -> bool:
+        return self._txn is None and not self._queue and not self._chores
+
+    def _mark(self) -> str:
+        self._serial += 1
+        return f"{self.term_mark}.{self._serial}"
+
+    def next_txn(self, now: float) -> Txn | None:
+        """The transaction to send now, if the budget allows one."""
+        if self._txn is not None:
+            return None
+        level = self.bucket.fill(now)
+        while self._queue and self._queue[0].record is None:
+            then = self._queue.popleft().then
+            if then is not None:
+                then()
+        if self._queue:
+            return self._log_txn(level)
+        if self._chores and level >= max(1.0, self.write_rps * 0.6):
+            return self._chore_txn()
+        return None
+
+    def _log_txn(self, level: float) -> Txn | None:
+        most = min(self.txn_ops, int(level))
+        if most < 1:
+            return None
+        mark = self._mark()
+        flying: list[_Pending] = []
+        changes: list[dict[str, Any]] = []
+        total = 0
+        while self._queue and len(changes) < most and total + self.value_bytes <= TXN_BYTES:
+            records: list[Record] = []
+            size = 200
+            while self._queue and size + self._queue[0].size <= self.value_bytes:
+                pending = self._queue.popleft()
+                flying.append(pending)
+                if pending.record is not None:
+                    records.append(pending.record)
+                    size += pending.size
+            value = {"mark": mark, "records": records}
+            changes.append(state.put(log_key(self.next_log + len(changes)), value))
+            total += size
+        first = log_key(self.next_log)
+        self._flying = flying
+        self.bucket.level -= len(changes)
+        self.log_bytes += total
+        # The first key must be new: a copy of this transaction that arrives
+        # after its twin was applied then fails.
+        guards = [state.guard(self.leader_key, self.leader_version), state.guard(first, 0)]
+        self._txn = Txn(guards, changes, first, mark)
+        return self._txn
+
+    def _chore_txn(self) -> Txn:
+        chore = self._chores.popleft()
+        self._flying_chore = chore
+        self.bucket.level -= len(chore.changes)
+        guards = [state.guard(self.leader_key, self.leader_version)]
+        if chore.probe == META:
+            # A copy that arrives late must not bring an older snapshot back.
+            guards.append(state.guard(META, self.meta_version))
+        self._txn = Txn(guards, chore.changes, chore.probe, chore.mark, urgent=False)
+        return self._txn
+
+    # -- what became of it -------------------------------------------------
+
+    def committed(self, revision: int) -> None:
+        """The transaction under way is durable."""
+        txn, flying, chore = self._txn, self._flying, self._flying_chore
+        self._txn = self._flying = self._flying_chore = None
+        if txn is None:
+            return
+        if flying is not None:
+            self.next_log += len(txn.changes)
+            for pending in flying:
+                if pending.then is not None:
+                    pending.then()
+        if chore is not None:
+            if chore.probe == META:
+                self.meta_version = revision
+            if chore.then is not None:
+                chore.then()
+
+    # -- snapshots ---------------------------------------------------------
+
+    def start_snapshot(self, records: list[Record], finals: list[list[Any]]) -> None:
+        """Write the state as of now. The log goes on meanwhile.
+
+        ``records`` describe the state with every record appended so far, so the
+        snapshot must come into force after those are durable: a marker in the
+        queue sees to it.
+        """
+        self.snapshotting = True
+        self.append(None, lambda: self._write_snapshot(records, finals))
+
+    def _write_snapshot(self, records: list[Record], finals: list[list[Any]]) -> None:
+        old = self.meta
+        generation = old.generation + 1
+        pages = self._pages(records)
+        final_pages = self._pages(finals)
+        for number, page in enumerate(pages):
+            mark = self._mark()
+            value = {"mark": mark, "records": page}
+            key = snap_key(generation, number)
+            self._chores.append(_Chore([state.put(key, value)], key, mark))
+        for number, page in enumerate(final_pages):
+            mark = self._mark()
+            value = {"mark": mark, "records": page}
+            key = final_key(old.finals + number)
+            self._chores.append(_Chore([state.put(key, value)], key, mark))
+        new = Meta(generation, len(pages), self.next_log, old.finals + len(final_pages))
+        mark = self._mark()
+        done = _Chore([state.put(META, new.value(mark))], META, mark)
+        done.then = lambda: self._adopt(old, new)
+        self._chores.append(done)
+
+    def _adopt(self, old: Meta, new: Meta) -> None:
+        self.meta = new
+        self.snapshotting = False
+        self.log_bytes = 0
+        self.sweep(
+            [log_key(number) for number in range(old.log_from, new.log_from)]
+            + [snap_key(old.generation, page) for page in range(old.pages)]
+        )
+
+    def sweep(self, keys: list[str]) -> None:
+        """Delete keys that no snapshot and no log needs any more."""
+        for start in range(0, len(keys), self.txn_ops):
+            some = keys[start : start + self.txn_ops]
+            self._chores.append(_Chore([state.remove(key) for key in some], "", ""))
+
+    def _pages(self, records: list[Record]) -> list[list[Record]]:
+        pages: list[list[Record]] = []
+        size = self.value_bytes
+        for record in records:
+            length = json_size(record) + 1
+            if size + length > self.value_bytes:
+                pages.append([])
+                size = 200
+            pages[-1].append(record)
+            size += length
+        return pages
--- /dev/null
+++ b/appleshift/bookkeeping/records.py
@@ -0,0 +1,189 @@
+"""The log's records: how changes are written down and read back.
+
+A record is a short list that starts with its kind, since every byte counts
+against the state service's limits. Tasks are written as ranges.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from appleshift.bookkeeping.index import from_ranges, to_ranges
+from appleshift.bookkeeping.tables import CANCELLED, FINISHED, Job, Machine, Tables
+from appleshift.protocol.cloud import MachineType
+from appleshift.protocol.users import Submission
+
+Record = list[Any]
+
+JOB = "J"
+ASSIGN = "A"
+FREE = "F"
+DONE = "D"
+CANCEL = "C"
+END = "E"
+TYPES = "T"
+GROUPS = "G"
+MACHINE = "M"
+GONE = "X"
+NEXT = "N"
+
+_SPEC_FIELDS = Submission.__struct_fields__
+_TASKS_A_RECORD = 300
+"""Ranges of this many tasks fit a small value even if no two are neighbours."""
+
+
+def job_record(job: Job) -> Record:
+    values = [getattr(job.spec, name) for name in _SPEC_FIELDS]
+    return [JOB, job.index, round(job.submitted, 3), values]
+
+
+def assign_records(
+    job: Job, attempt: int, machine: Machine, session: int, tasks: list[int]
+) -> list[Record]:
+    return [
+        [ASSIGN, job.index, attempt, machine.name, session, to_ranges(some)]
+        for some in _slices(tasks)
+    ]
+
+
+def free_records(job: Job, tasks: list[int]) -> list[Record]:
+    return [[FREE, job.index, to_ranges(some)] for some in _slices(tasks)]
+
+
+def done_records(job: Job, tasks: list[int]) -> list[Record]:
+    return [[DONE, job.index, to_ranges(some)] for some in _slices(tasks)]
+
+
+def cancel_record(job: Job) -> Record:
+    return [CANCEL, job.index]
+
+
+def end_record(job: Job) -> Record:
+    return [END, job.index, job.status]
+
+
+def types_record(types: list[MachineType]) -> list[Record]:
+    return [[TYPES, msgspec.to_builtins(kind)] for kind in types]
+
+
+def machine_record(tables: Tables, machine: Machine) -> Record:
+    kind, zone = tables.type_names.names[machine.type], tables.zones.names[machine.zone]
+    return [MACHINE, machine.name, machine.addr, kind, zone, machine.spot]
+
+
+def gone_record(machine: Machine) -> Record:
+    return [GONE, machine.name]
+
+
+def _slices(tasks: list[int]) -> list[list[int]]:
+    ordered = sorted(tasks)
+    return [
+        ordered[start : start + _TASKS_A_RECORD]
+        for start in range(0, len(ordered), _TASKS_A_RECORD)
+    ]
+
+
+class Replay:
+    """Rebuilds the tables from a snapshot and the log after it."""
+
+    def __init__(self, tables: Tables) -> None:
+        self.tables = tables
+        self.groups: Any = None
+        self.unsaved_finals: list[tuple[str, int]] = []
+        # (job, task) -> (attempt, machine name, session): where a task may be.
+        self.places: dict[tuple[int, int], tuple[int, str, int]] = {}
+
+    def finals(self, records: list[Record]) -> None:
+        for job_id, status in records:
+            self.tables.finals[job_id] = status
+
+    def apply(self, records: list[Record]) -> None:
+        for record in records:
+            self._apply(record)
+
+    def _apply(self, record: Record) -> None:
+        kind = record[0]
+        tables = self.tables
+        if kind == JOB:
+            _, index, submitted, values = record
+            spec = Submission(**dict(zip(_SPEC_FIELDS, values, strict=True)))
+            job = tables.add_job(index, spec, submitted)
+            job.accepted = True
+            return
+        if kind == TYPES:
+            tables.set_types([msgspec.convert(record[1], MachineType)])
+            return
+        if kind == GROUPS:
+            self.groups = record[1]
+            return
+        if kind == MACHINE:
+            _, name, addr, type_name, zone, spot = record
+            machine = tables.add_machine(name, type_name, zone, spot)
+            if machine is not None:
+                machine.addr = addr
+            return
+        if kind == GONE:
+            machine = tables.machine(record[1])
+            if machine is not None:
+                tables.drop_machine(machine)
+            return
+        if kind == NEXT:
+            tables.next_job = max(tables.next_job, record[1])
+            return
+        index = record[1]
+        known = tables.jobs.get(index)
+        if known is None:
+            return
+        job = known
+        if kind == ASSIGN:
+            _, _, attempt, machine, session, ranges = record
+            for task in from_ranges(ranges):
+                self.places[(index, task)] = (attempt, machine, session)
+            job.attempt = max(job.attempt, attempt)
+        elif kind == FREE:
+            for task in from_ranges(record[2]):
+                self.places.pop((index, task), None)
+        elif kind == DONE:
+            for task in from_ranges(record[2]):
+                tables.finish_task(job, task)
+            if job.done_count == job.spec.tasks:
+                job.status = FINISHED
+                job.done_durable = True
+        elif kind == CANCEL:
+            if job.status != FINISHED:
+                job.status = CANCELLED
+                job.cancel_durable = True
+        elif kind == END:
+            job.status = record[2]
+            for task in range(job.spec.tasks):
+                self.places.pop((index, task), None)
+            self.unsaved_finals.append((job.spec.id, job.status))
+            tables.retire(job)
+
+
+def live_records(tables: Tables, groups: Any) -> list[Record]:
+    """Records that rebuild the live state, for a snapshot."""
+    records = types_record(tables.types)
+    if groups is not None:
+        records.append([GROUPS, groups])
+    # Ended jobs' numbers stay used: the log after the snapshot may name them.
+    records.append([NEXT, tables.next_job])
+    for machine in tables.machines.values():
+        if machine.addr:
+            records.append(machine_record(tables, machine))
+    for job in tables.jobs.values():
+        records.append(job_record(job))
+        # Where tasks may be, attempt by attempt and machine by machine.
+        by_place: dict[tuple[int, int, int], list[int]] = {}
+        for task, run in job.runs.items():
+            key = (run.attempt, run.machine.index, run.session)
+            by_place.setdefault(key, []).append(task)
+        for (attempt, _, session), tasks in by_place.items():
+            records += assign_records(job, attempt, job.runs[tasks[0]].machine, session, tasks)
+        done = [task for task in range(job.spec.tasks) if job.done[task]]
+        records += done_records(job, done)
+        if job.status == CANCELLED:
+            records.append(cancel_record(job))
+    return records
--- /dev/null
+++ b/appleshift/bookkeeping/store.py
@@ -0,0 +1,157 @@
+"""The state service as the node uses it: reads, transactions, leases, watches."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from appleshift.bookkeeping.journal import FINAL, LOG, META, SNAP, Meta, final_key, log_key
+from appleshift.bookkeeping.records import Replay
+from appleshift.protocol import state
+from appleshift.protocol.wire import ProtocolError, encode
+from appleshift.transport.client import ClientError, HttpClient, RateBudget
+
+PAGE_ITEMS = 60
+
+
+class StoreError(Exception):
+    """The state service gave no usable answer; ``refused``: it did nothing."""
+
+    def __init__(self, reason: str, refused: bool) -> None:
+        super().__init__(reason)
+        self.refused = refused
+
+
+class LeaseGoneError(Exception):
+    """The lease has ended."""
+
+
+class TxnFailedError(Exception):
+    """A transaction's conditions do not hold."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = failed
+
+
+class Store:
+    """Blocking calls; every failure is one of the errors above."""
+
+    def __init__(self, client: HttpClient, rps: float) -> None:
+        self._client = client
+        self._budget = RateBudget(max(1.0, rps * 0.3))
+
+    def _call(self, method: str, path: str, body: Any, timeout: float) -> tuple[int, bytes]:
+        self._budget.wait()
+        try:
+            data = None if body is None else encode(body)
+            status, answer = self._client.request(method, path, data, timeout)
+        except ClientError as error:
+            raise StoreError(str(error), refused=False) from None
+        if status in (429, 503):
+            raise StoreError(f"{path}: {status}", refused=True)
+        if status >= 500:
+            raise StoreError(f"{path}: {status}", refused=False)
+        return status, answer
+
+    def get(self, key: str, timeout: float = 1.0) -> state.Item | None:
+        status, body = self._call("GET", f"/kv/{key}", None, timeout)
+        if status == 404:
+            return None
+        item: state.Item = self._decoded(status, body, state.decode_item)
+        return item
+
+    @staticmethod
+    def _decoded(status: int, body: bytes, decode: Any) -> Any:
+        if status != 200:
+            raise StoreError(f"unexpected status {status}", refused=False)
+        try:
+            return decode(body)
+        except ProtocolError as error:
+            raise StoreError(f"unreadable answer: {error.reason}", refused=False) from None
+
+    def page(self, prefix: str, after: str, limit: int, timeout: float = 2.0) -> state.Page:
+        status, body = self._call("GET", state.page_path(prefix, after, limit), None, timeout)
+        page: state.Page = self._decoded(status, body, state.decode_page)
+        return page
+
+    def everything(self, prefix: str, after: str = "") -> list[state.Item]:
+        items: list[state.Item] = []
+        while True:
+            page = self.page(prefix, after, PAGE_ITEMS)
+            items += page.items
+            if not page.more or not page.items:
+                return items
+            after = page.items[-1].key
+
+    def txn(
+        self, guards: list[dict[str, Any]], changes: list[dict[str, Any]], timeout: float = 1.0
+    ) -> int:
+        status, body = self._call("POST", "/txn", state.txn_body(guards, changes), timeout)
+        if status == 409:
+            raise TxnFailedError(self._decoded(200, body, state.decode_failed))
+        if status == 400:
+            raise LeaseGoneError(repr(body[:200]))
+        revision: int = self._decoded(status, body, state.decode_txn)
+        return revision
+
+    def grant(self, ttl_s: float, timeout: float = 1.0) -> int:
+        status, body = self._call("POST", "/leases", state.lease_body(ttl_s), timeout)
+        lease: int = self._decoded(status, body, state.decode_lease)
+        return lease
+
+    def renew(self, lease: int, timeout: float) -> None:
+        status, _ = self._call("POST", f"/leases/{lease}/renew", {}, timeout)
+        if status == 404:
+            raise LeaseGoneError(f"lease {lease}")
+        if status != 200:
+            raise StoreError(f"renewal: {status}", refused=False)
+
+    def drop_lease(self, lease: int) -> bool:
+        """End a lease; true if it has certainly ended."""
+        try:
+            status, _ = self._call("DELETE", f"/leases/{lease}", None, 1.0)
+        except StoreError:
+            return False
+        return status in (200, 204, 404)
+
+    def watch(self, prefix: str, after: int, hold_s: float) -> state.Changes | None:
+        """What changed; None if the history no longer goes back that far."""
+        path = state.watch_path(prefix, after, hold_s)
+        status, body = self._call("GET", path, None, hold_s + 2.0)
+        if status == 410:
+            return None
+        changes: state.Changes = self._decoded(status, body, state.decode_changes)
+        return changes
+
+
+def recover(store: Store, replay: Replay) -> tuple[Meta, int, int, list[str]]:
+    """Read snapshot and log into ``replay``.
+
+    Returns what ``meta`` says, its version, the log's next number, and the
+    keys that a broken-off snapshot or clean-up left behind.
+    """
+    item = store.get(META)
+    meta, version = Meta(), 0
+    if item is not None:
+        version = item.version
+        value = item.value
+        meta = Meta(value["generation"], value["pages"], value["log_from"], value["finals"])
+    leftovers: list[str] = []
+    last_final = final_key(meta.finals)
+    for row in store.everything(FINAL) if meta.finals else []:
+        if row.key < last_final:
+            replay.finals(row.value["records"])
+    prefix = f"{SNAP}{meta.generation:08d}/"
+    for row in store.everything(SNAP):
+        if row.key.startswith(prefix) and int(row.key[len(prefix) :]) < meta.pages:
+            replay.apply(row.value["records"])
+        else:
+            leftovers.append(row.key)
+    number = meta.log_from
+    for row in store.everything(LOG):
+        if row.key < log_key(meta.log_from):
+            leftovers.append(row.key)
+            continue
+        replay.apply(row.value["records"])
+        number = int(row.key[len(LOG) :]) + 1
+    return meta, version, number, leftovers
--- /dev/null
+++ b/appleshift/bookkeeping/tables.py
@@ -0,0 +1,400 @@
+"""Jobs, tasks, machines and teams as the leader knows them.
+
+Inside, everything is a small integer: jobs, machines, teams, zones, types and
+images have an index each, and tasks are positions in their job's arrays.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from appleshift.bookkeeping.index import NameIndex
+from appleshift.protocol.cloud import MachineType
+from appleshift.protocol.settings import TeamLimits
+from appleshift.protocol.users import GANG, RANKS, SERVICE, Submission
+
+ORDERED, FETCHING, WAITING, RUNNING, SAVING, EXITED = range(6)
+"""States of a run. ORDERED: assigned, not yet seen on its machine."""
+
+STATES = {
+    "fetching": FETCHING,
+    "waiting": WAITING,
+    "running": RUNNING,
+    "saving": SAVING,
+    "exited": EXITED,
+}
+
+BOOTING, UP, GONE = range(3)
+
+OPEN, FINISHED, CANCELLED = range(3)
+
+EPSILON = 1e-6
+
+
+class Run:
+    """One attempt of a task on one session of a machine.
+
+    It stands from the assignment until there is proof that the worker holds
+    nothing of it any more; ``job.runs[task]`` refers to it only as long as the
+    task may be on the machine.
+    """
+
+    __slots__ = (
+        "attempt",
+        "durable",
+        "exit_durable",
+        "grace",
+        "job",
+        "machine",
+        "mine",
+        "name",
+        "ordered_at",
+        "pushed",
+        "running_since",
+        "session",
+        "state",
+        "stop_reason",
+        "stopped_at",
+        "task",
+        "uncertain",
+    )
+
+    def __init__(self, job: Job, task: int, attempt: int, machine: Machine, session: int) -> None:
+        self.job = job
+        self.task = task
+        self.attempt = attempt
+        self.machine = machine
+        self.session = session
+        self.name = f"{job.spec.id}/{task}"
+        self.state = ORDERED
+        self.durable = False
+        self.exit_durable = False
+        self.pushed = False
+        # Set while a direct start got no answer: it may still arrive, so the
+        # worker must keep remembering the attempt and is not told to clear it.
+        self.uncertain = 0
+        # Ordered in this term. Starts of earlier terms are fenced off once the
+        # worker has seen this term's token.
+        self.mine = True
+        self.grace: float | None = None
+        self.stop_reason = ""
+        self.stopped_at = 0.0
+        self.ordered_at = 0.0
+        self.running_since = 0.0
+
+
+class Job:
+    """An accepted job that is not over yet, or whose tasks may still be somewhere."""
+
+    __slots__ = (
+        "accepted",
+        "attempt",
+        "avoid",
+        "backoff_s",
+        "cancel_durable",
+        "done",
+        "done_count",
+        "done_durable",
+        "errors_on",
+        "image",
+        "index",
+        "not_before",
+        "pending",
+        "rank",
+        "runs",
+        "spec",
+        "status",
+        "submitted",
+        "team",
+        "type_ok",
+        "zone",
+    )
+
+    def __init__(self, index: int, spec: Submission, submitted: float) -> None:
+        self.index = index
+        self.spec = spec
+        self.submitted = submitted
+        self.rank = RANKS[spec.priority]
+        self.done = bytearray(spec.tasks)
+        self.done_count = 0
+        self.runs: dict[int, Run] = {}
+        self.pending: set[int] = set(range(spec.tasks))
+        self.attempt = 0
+        self.status = OPEN
+        self.accepted = False
+        self.done_durable = False
+        self.cancel_durable = False
+        self.errors_on: set[int] = set()
+        self.avoid: dict[int, float] = {}
+        self.backoff_s = 0.0
+        self.not_before = 0.0
+        self.team = -1
+        self.image = -1
+        self.zone = -1
+        self.type_ok: list[bool] | None = None
+
+    @property
+    def gang(self) -> bool:
+        return self.spec.shape == GANG
+
+    @property
+    def service(self) -> bool:
+        return self.spec.shape == SERVICE
+
+    def running(self) -> int:
+        return sum(1 for run in self.runs.values() if run.state in (RUNNING, SAVING))
+
+
+class Machine:
+    """A rented machine, from the answer to the rental until it is surely gone."""
+
+    __slots__ = (
+        "addr",
+        "asked_gone",
+        "cpus",
+        "delete_at",
+        "draining",
+        "errors",
+        "failed_until",
+        "free_cpus",
+        "free_gpus",
+        "free_memory",
+        "group",
+        "idle_since",
+        "images",
+        "index",
+        "last_heard",
+        "lease_until",
+        "listed_at",
+        "missing_since",
+        "name",
+        "notice_at",
+        "probe",
+        "pushing",
+        "rented_at",
+        "runs",
+        "seq",
+        "session",
+        "sick",
+        "spot",
+        "status",
+        "strays",
+        "type",
+        "zone",
+    )
+
+    def __init__(
+        self, index: int, name: str, kind: int, spec: MachineType, zone: int, spot: bool
+    ) -> None:
+        self.index = index
+        self.name = name
+        self.addr = ""
+        self.type = kind
+        self.zone = zone
+        self.spot = spot
+        self.status = BOOTING
+        self.session = 0
+        self.seq = -1
+        self.cpus = spec.cpus
+        self.free_cpus = spec.cpus
+        self.free_gpus = spec.gpus
+        self.free_memory = spec.memory_gb
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.strays: dict[tuple[str, int], bool] = {}
+        self.images: OrderedDict[int, float] = OrderedDict()
+        self.last_heard = 0.0
+        self.lease_until = 0.0
+        self.listed_at: float | None = None
+        self.missing_since: float | None = None
+        self.rented_at = 0.0
+        self.idle_since = 0.0
+        self.notice_at: float | None = None
+        self.draining = False
+        self.asked_gone = False
+        self.delete_at = 0.0
+        self.pushing = False
+        self.probe = 0
+        self.group = -1
+        self.errors: dict[int, float] = {}
+        self.failed_until = 0.0
+        self.sick = False
+
+    def usable(self) -> bool:
+        return self.status == UP and not (self.draining or self.asked_gone or self.sick)
+
+    def empty(self) -> bool:
+        """No task can be on it; exited ones may still be in its reports."""
+        return all(run.state == EXITED for run in self.runs.values())
+
+    def take(self, spec: Submission) -> None:
+        self.free_cpus -= spec.cpus
+        self.free_gpus -= spec.gpus
+        self.free_memory -= spec.memory_gb
+
+    def give(self, spec: Submission) -> None:
+        self.free_cpus += spec.cpus
+        self.free_gpus += spec.gpus
+        self.free_memory += spec.memory_gb
+
+    def remember_image(self, image: int, size_gb: float, cache_gb: float) -> None:
+        """Follow the worker's cache: it keeps the most recently used images."""
+        self.images[image] = size_gb
+        self.images.move_to_end(image)
+        while len(self.images) > 1 and sum(self.images.values()) > cache_gb:
+            self.images.popitem(last=False)
+
+
+@dataclass(slots=True)
+class Team:
+    """What a team's tasks take of machines that they may be on."""
+
+    limits: TeamLimits
+    cpus: float = 0.0
+    gpus: float = 0.0
+
+    def room_for(self, cpus: float, gpus: float) -> bool:
+        limits = self.limits
+        cpus_ok = limits.cpus_max <= 0 or self.cpus + cpus <= limits.cpus_max + EPSILON
+        gpus_ok = limits.gpus_max <= 0 or self.gpus + gpus <= limits.gpus_max + EPSILON
+        return cpus_ok and gpus_ok
+
+    def ever_fits(self, cpus: float, gpus: float) -> bool:
+        limits = self.limits
+        return not (
+            (limits.cpus_max > 0 and cpus > limits.cpus_max + EPSILON)
+            or (limits.gpus_max > 0 and gpus > limits.gpus_max + EPSILON)
+        )
+
+    def borrowing(self) -> bool:
+        limits = self.limits
+        return self.cpus > limits.cpus + EPSILON or self.gpus > limits.gpus + EPSILON
+
+
+class Tables:
+    """All that the leader knows, by index."""
+
+    def __init__(self, zones: list[str], teams: list[TeamLimits]) -> None:
+        self.zones = NameIndex()
+        for zone in zones:
+            self.zones.add(zone)
+        self.team_names = NameIndex()
+        self.teams: list[Team] = []
+        for limits in teams:
+            self.team_names.add(limits.name)
+            self.teams.append(Team(limits))
+        self.images = NameIndex()
+        self.type_names = NameIndex()
+        self.types: list[MachineType] = []
+        self.jobs: dict[int, Job] = {}
+        self.job_by_id: dict[str, Job] = {}
+        self.finals: dict[str, int] = {}
+        self.next_job = 0
+        self.machine_names = NameIndex()
+        self.machines: dict[int, Machine] = {}
+        self.gone: set[str] = set()
+
+    def set_types(self, types: list[MachineType]) -> bool:
+        """Take in prices; true if anything but a price is new."""
+        fresh = False
+        for spec in types:
+            number = self.type_names.add(spec.name)
+            for zone in spec.zones:
+                self.zones.add(zone)
+            if number == len(self.types):
+                self.types.append(spec)
+                fresh = True
+            else:
+                self.types[number] = spec
+        if fresh:
+            for job in self.jobs.values():
+                job.type_ok = None
+        return fresh
+
+    def add_job(self, index: int, spec: Submission, submitted: float) -> Job:
+        job = Job(index, spec, submitted)
+        job.team = self.team_names.get(spec.team)
+        job.image = self.images.add(spec.image)
+        job.zone = -1 if spec.zone is None else self.zones.add(spec.zone)
+        self.jobs[index] = job
+        self.job_by_id[spec.id] = job
+        self.next_job = max(self.next_job, index + 1)
+        return job
+
+    def types_for(self, job: Job) -> list[bool]:
+        if job.type_ok is None:
+            allowed = job.spec.types
+            job.type_ok = [
+                (allowed is None or kind.name in allowed) and type_fits(kind, job.spec)
+                for kind in self.types
+            ]
+        return job.type_ok
+
+    def machine(self, name: str) -> Machine | None:
+        return self.machines.get(self.machine_names.get(name))
+
+    def add_machine(self, name: str, type_name: str, zone: str, spot: bool) -> Machine | None:
+        """A machine by name; None if its type is not known (yet)."""
+        known = self.machine(name)
+        if known is not None or name in self.gone:
+            return known
+        kind = self.type_names.get(type_name)
+        if kind < 0:
+            return None
+        index = self.machine_names.add(name)
+        machine = Machine(index, name, kind, self.types[kind], self.zones.add(zone), spot)
+        self.machines[index] = machine
+        return machine
+
+    def assign(self, job: Job, task: int, attempt: int, machine: Machine, session: int) -> Run:
+        """Put a task on a machine: from here on it counts as being there."""
+        run = Run(job, task, attempt, machine, session)
+        job.runs[task] = run
+        job.pending.discard(task)
+        job.attempt = max(job.attempt, attempt)
+        machine.runs[(run.name, attempt)] = run
+        machine.take(job.spec)
+        team = self.teams[job.team]
+        team.cpus += job.spec.cpus
+        team.gpus += job.spec.gpus
+        return run
+
+    def free(self, run: Run) -> None:
+        """The task is certainly no longer on its machine."""
+        job = run.job
+        if job.runs.get(run.task) is not run:
+            return
+        del job.runs[run.task]
+        if not job.done[run.task]:
+            job.pending.add(run.task)
+        run.machine.give(job.spec)
+        team = self.teams[job.team]
+        team.cpus -= job.spec.cpus
+        team.gpus -= job.spec.gpus
+
+    def finish_task(self, job: Job, task: int) -> bool:
+        if job.done[task]:
+            return False
+        job.done[task] = 1
+        job.done_count += 1
+        job.pending.discard(task)
+        return True
+
+    def retire(self, job: Job) -> None:
+        """Shrink an ended job to its final state."""
+        self.finals[job.spec.id] = job.status
+        self.jobs.pop(job.index, None)
+        self.job_by_id.pop(job.spec.id, None)
+
+    def drop_machine(self, machine: Machine) -> None:
+        machine.status = GONE
+        self.gone.add(machine.name)
+        self.machines.pop(machine.index, None)
+
+
+def type_fits(kind: MachineType, spec: Submission) -> bool:
+    return (
+        kind.cpus + EPSILON >= spec.cpus
+        and kind.gpus + EPSILON >= spec.gpus
+        and kind.memory_gb + EPSILON >= spec.memory_gb
+    )
--- /dev/null
+++ b/appleshift/coordination/commit.py
@@ -0,0 +1,82 @@
+"""The commit duty: sends the journal's transactions until their outcome is known."""
+
+from __future__ import annotations
+
+import logging
+import queue
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from appleshift.bookkeeping.journal import Txn
+from appleshift.bookkeeping.store import LeaseGoneError, Store, StoreError, TxnFailedError
+
+log = logging.getLogger(__name__)
+
+RETRY_S = 0.15
+
+
+class Committer:
+    """One routine; it has at most one transaction under way."""
+
+    def __init__(self, store: Store, post: Callable[..., None], current: Callable[[], Any]) -> None:
+        self._store = store
+        self._post = post
+        self._current = current
+        self._queue: queue.SimpleQueue[tuple[Txn, Any] | None] = queue.SimpleQueue()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="commit", daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._stop.set()
+        self._queue.put(None)
+
+    def send(self, txn: Txn, term: Any) -> None:
+        self._queue.put((txn, term))
+
+    def _run(self) -> None:
+        while True:
+            entry = self._queue.get()
+            if entry is None:
+                return
+            self._settle(*entry)
+
+    def _settle(self, txn: Txn, term: Any) -> None:
+        """Send it again and again: its guards make a second execution fail."""
+        while not self._stop.is_set() and self._current() is term:
+            try:
+                revision = self._store.txn(txn.guards, txn.changes)
+                self._post("committed", term, revision)
+                return
+            except TxnFailedError as error:
+                if txn.probe and self._applied(txn, term):
+                    return
+                log.info("deposed: guards failed on %s", error)
+                self._post("deposed", term)
+                return
+            except LeaseGoneError as error:
+                log.error("the state service calls a transaction malformed: %s", error)
+                self._post("deposed", term)
+                return
+            except StoreError as error:
+                log.debug("commit: %s", error)
+                self._post("stalled", term)
+            self._stop.wait(RETRY_S)
+
+    def _applied(self, txn: Txn, term: Any) -> bool:
+        """Was it an earlier copy of this transaction that got through?"""
+        while not self._stop.is_set() and self._current() is term:
+            try:
+                item = self._store.get(txn.probe)
+            except StoreError:
+                self._stop.wait(RETRY_S)
+                continue
+            value = None if item is None else item.value
+            if item is None or not isinstance(value, dict) or value.get("mark") != txn.mark:
+                return False
+            self._post("committed", term, item.version)
+            return True
+        return False
--- /dev/null
+++ b/appleshift/coordination/core.py
@@ -0,0 +1,734 @@
+"""The leader's core for one term: events and time in, effects out.
+
+One routine owns it. It is built when an election is won, from what the state
+service holds, and thrown away when leadership ends. Whatever a user, worker or
+machine is told rests on a record that is durable by then.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from appleshift.bookkeeping import records
+from appleshift.bookkeeping.journal import Journal
+from appleshift.bookkeeping.records import Record, Replay
+from appleshift.bookkeeping.tables import (
+    CANCELLED,
+    EXITED,
+    FINISHED,
+    OPEN,
+    ORDERED,
+    RUNNING,
+    STATES,
+    UP,
+    WAITING,
+    Job,
+    Machine,
+    Run,
+    Tables,
+    type_fits,
+)
+from appleshift.coordination.effects import Delete, Effect, Push, Reply
+from appleshift.coordination.fleet import Fleet
+from appleshift.coordination.placement import Placer, stop_grace
+from appleshift.protocol import users, workers
+from appleshift.protocol.operator import OperatorSettings
+from appleshift.protocol.settings import Settings
+from appleshift.protocol.users import Submission
+from appleshift.protocol.workers import Report, TaskReport
+
+log = logging.getLogger(__name__)
+
+DRIFT = 1.002
+"""Steady clocks differ by a fraction of this; all bounds on leases count it."""
+LEASE_MARGIN_S = 0.25
+REORDER_S = 1.0
+"""A command without visible effect is pushed again after this long."""
+PLACE_GAP_S = 0.02
+MAX_BACKLOG = 2000
+MAX_COMMANDS = 400
+"""A worker's answer is limited to 64 KiB; the rest follows with the next one."""
+
+FINAL_NAMES = {FINISHED: users.DONE, CANCELLED: users.CANCELLED}
+
+
+class Authority(Protocol):
+    """What this node may do right now, by its own clock."""
+
+    def may_write(self, now: float) -> bool:
+        """The leadership lease certainly holds."""
+        ...
+
+    def may_answer(self, now: float) -> bool:
+        """No other node can lead: by the lease, or by every sibling's pledge."""
+        ...
+
+
+class Core:
+    """Jobs, machines and every decision of one term."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        operator: OperatorSettings,
+        authority: Authority,
+        token: int,
+        replay: Replay,
+        journal: Journal,
+        now: float,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.operator = operator
+        self.authority = authority
+        self.token = token
+        self.tables: Tables = replay.tables
+        self.journal = journal
+        self.rng = rng
+        self.effects: deque[Effect] = deque()
+        self.started = now
+        self.now = now
+        self.wall = 0.0
+        self.dirty = True
+        self.placed_at = 0.0
+        self.next_tick = now
+        self.unsaved_finals = list(replay.unsaved_finals)
+        self.worker_lease_s = settings.deployment.workers.lease_s * DRIFT + LEASE_MARGIN_S
+        self._pushes: set[int] = set()
+        self._waiting: dict[int, Any] = {}
+        self.is_stalled = False
+        self.fleet = Fleet(self, replay.groups)
+        self._restore(replay)
+
+    def _restore(self, replay: Replay) -> None:
+        """Known assignments stay where they are until there is proof."""
+        tables = self.tables
+        for (index, task), (attempt, name, session) in replay.places.items():
+            job = tables.jobs.get(index)
+            machine = tables.machine(name)
+            if job is None or job.done[task]:
+                continue
+            if machine is None:
+                # Its deletion was written down: the task went with it.
+                continue
+            machine.session = max(machine.session, session)
+            run = tables.assign(job, task, attempt, machine, session)
+            run.durable = run.pushed = True
+            run.mine = False
+        for machine in tables.machines.values():
+            machine.status = UP
+            # Whoever led before us may have answered until we were elected.
+            machine.lease_until = self.now + self.worker_lease_s
+            machine.idle_since = self.now
+            machine.rented_at = self.now
+        for job in list(tables.jobs.values()):
+            if job.status == CANCELLED:
+                self._stop_job(job)
+            self._maybe_end(job)
+
+    # -- small helpers --------------------------------------------------------
+
+    def reply(self, slot: Any, status: int, body: dict[str, Any], retry_after: int = 0) -> None:
+        if slot is not None:
+            self._waiting.pop(id(slot), None)
+            self.effects.append(Reply(slot, status, body, retry_after))
+
+    def reply_durable(self, slot: Any, status: int, body: dict[str, Any]) -> None:
+        """Answer once all that is written so far is durable, unless that stalls."""
+        self._waiting[id(slot)] = slot
+
+        def durable() -> None:
+            if self._waiting.get(id(slot)) is slot:
+                self.reply(slot, status, body)
+
+        self.journal.append(None, durable)
+
+    def committed(self, revision: int) -> None:
+        self.is_stalled = False
+        self.journal.committed(revision)
+
+    def stalled(self) -> None:
+        """The state service does not take writes: nobody is kept waiting for it.
+
+        What was written down may become durable yet; whoever asks again then
+        learns so.
+        """
+        self.is_stalled = True
+        for slot in list(self._waiting.values()):
+            self.unavailable(slot)
+
+    def abandon(self) -> None:
+        """The term is over: whoever waits is told to ask again."""
+        for slot in list(self._waiting.values()):
+            self.unavailable(slot)
+
+    def unavailable(self, slot: Any) -> None:
+        self.reply(slot, 503, users.error_body("not available right now"), 1)
+
+    def write(self, some: list[Record], then: Callable[[], None] | None = None) -> None:
+        """Append records; ``then`` runs once all of them are durable."""
+        for record in some[:-1]:
+            self.journal.append(record)
+        self.journal.append(some[-1] if some else None, then)
+
+    def take_effects(self) -> list[Effect]:
+        taken = list(self.effects)
+        self.effects.clear()
+        return taken
+
+    # -- users ------------------------------------------------------------------
+
+    def submit(self, spec: Submission, slot: Any, wall: float) -> None:
+        tables = self.tables
+        if spec.id in tables.finals:
+            status = FINAL_NAMES[tables.finals[spec.id]]
+            self.reply(slot, 200, users.state_body(spec.id, status))
+            return
+        if not self.authority.may_answer(self.now):
+            self.unavailable(slot)
+            return
+        known = tables.job_by_id.get(spec.id)
+        if known is not None:
+            if known.accepted:
+                self.reply(slot, 200, users.state_body(spec.id, self._status(known)))
+            else:
+                self._or_stalled(slot, 200, users.state_body(spec.id, users.PENDING))
+            return
+        if not self._takes_writes():
+            self.unavailable(slot)
+            return
+        refusal = self._refusal(spec)
+        if refusal is not None:
+            self.reply(
+                slot, refusal[0], users.error_body(refusal[1]), 1 if refusal[0] == 503 else 0
+            )
+            return
+        job = tables.add_job(tables.next_job, spec, wall)
+        record = records.job_record(job)
+        if not self.journal.fits(record):
+            tables.jobs.pop(job.index)
+            tables.job_by_id.pop(spec.id)
+            self.reply(slot, 400, users.error_body("description too large"))
+            return
+
+        def accepted() -> None:
+            job.accepted = True
+            self.dirty = True
+
+        self.journal.append(record, accepted)
+        self.reply_durable(slot, 201, users.state_body(spec.id, users.PENDING))
+        self.fleet.arrived(job)
+
+    def _takes_writes(self) -> bool:
+        return (
+            not self.is_stalled
+            and self.authority.may_write(self.now)
+            and self.journal.backlog() < MAX_BACKLOG
+        )
+
+    def _or_stalled(self, slot: Any, status: int, body: dict[str, Any]) -> None:
+        if self.is_stalled:
+            self.unavailable(slot)
+        else:
+            self.reply_durable(slot, status, body)
+
+    def _refusal(self, spec: Submission) -> tuple[int, str] | None:
+        tables = self.tables
+        if not tables.types:
+            return 503, "machine types are not known yet"
+        team = tables.team_names.get(spec.team)
+        if team < 0:
+            return 422, "unknown team"
+        allowed = [kind for kind in tables.types if spec.types is None or kind.name in spec.types]
+        if spec.zone is not None:
+            allowed = [kind for kind in allowed if spec.zone in kind.zones]
+        if not any(type_fits(kind, spec) for kind in allowed):
+            return 422, "a task fits no allowed machine type"
+        tasks = 1 if spec.shape == users.ARRAY else spec.tasks
+        if not tables.teams[team].ever_fits(spec.cpus * tasks, spec.gpus * tasks):
+            return 422, "more than the team's limit"
+        return None
+
+    def _status(self, job: Job) -> str:
+        """What users may be told: only what is durable."""
+        if job.done_durable:
+            return users.DONE
+        if job.cancel_durable:
+            return users.CANCELLED
+        return users.RUNNING if job.running() else users.PENDING
+
+    def status(self, job_id: str, slot: Any) -> None:
+        tables = self.tables
+        final = tables.finals.get(job_id)
+        if final is not None:
+            self.reply(slot, 200, users.status_body(job_id, FINAL_NAMES[final]))
+            return
+        job = tables.job_by_id.get(job_id)
+        if job is not None and (job.done_durable or job.cancel_durable):
+            pass
+        elif not self.authority.may_answer(self.now):
+            self.unavailable(slot)
+            return
+        if job is None:
+            self.reply(slot, 404, users.error_body("no such job"))
+        elif not job.accepted:
+            self.unavailable(slot)
+        else:
+            body = users.status_body(job_id, self._status(job), job.done_count, job.running())
+            self.reply(slot, 200, body)
+
+    def cancel(self, job_id: str, slot: Any) -> None:
+        tables = self.tables
+        final = tables.finals.get(job_id)
+        if final is not None:
+            self.reply(slot, 200, users.state_body(job_id, FINAL_NAMES[final]))
+            return
+        if not self.authority.may_answer(self.now):
+            self.unavailable(slot)
+            return
+        job = tables.job_by_id.get(job_id)
+        if job is None:
+            self.reply(slot, 404, users.error_body("no such job"))
+            return
+        if not self._takes_writes():
+            self.unavailable(slot)
+            return
+        if job.status == OPEN:
+            job.status = CANCELLED
+
+            def durable() -> None:
+                job.cancel_durable = True
+                self._stop_job(job)
+                self._maybe_end(job)
+
+            self.journal.append(records.cancel_record(job), durable)
+        self.reply_durable(slot, 200, users.state_body(job_id, FINAL_NAMES[job.status]))
+
+    def _stop_job(self, job: Job) -> None:
+        for run in list(job.runs.values()):
+            self.stop(run, 0.0, "cancel")
+
+    def _maybe_end(self, job: Job) -> None:
+        """Shrink a job to its final state once nothing of it can run."""
+        if job.index not in self.tables.jobs or job.runs:
+            return
+        if not (job.done_durable or job.cancel_durable):
+            return
+        self.journal.append(records.end_record(job))
+        self.unsaved_finals.append((job.spec.id, job.status))
+        self.tables.retire(job)
+
+    # -- tasks --------------------------------------------------------------------
+
+    def stop(self, run: Run, grace: float, reason: str) -> None:
+        """Order a task to stop; a sharper order replaces a gentler one."""
+        if run.state == EXITED or (run.grace is not None and run.grace <= grace):
+            return
+        if run.state == ORDERED and run.mine and not run.pushed:
+            # Never sent to the worker: nothing can be there.
+            run.state = EXITED
+            run.machine.runs.pop((run.name, run.attempt), None)
+            self.free([run], exited=False)
+            return
+        run.grace = grace
+        run.stop_reason = reason
+        run.stopped_at = self.now
+        self._pushes.add(run.machine.index)
+
+    def stop_gang(self, job: Job, grace: float, reason: str) -> None:
+        """All tasks of a gang are told in the same moment, or the save fails."""
+        for run in list(job.runs.values()):
+            self.stop(run, grace, reason)
+
+    def free(self, some: list[Run], exited: bool) -> None:
+        """These tasks are certainly off their machines: write it down."""
+        by_job: dict[int, list[Run]] = {}
+        for run in some:
+            if run.job.runs.get(run.task) is run:
+                self.tables.free(run)
+                by_job.setdefault(run.job.index, []).append(run)
+            elif exited:
+                run.exit_durable = True
+        for runs in by_job.values():
+            job = runs[0].job
+
+            def durable(runs: list[Run] = runs, job: Job = job) -> None:
+                for run in runs:
+                    run.exit_durable = True
+                self._maybe_end(job)
+
+            self.write(records.free_records(job, [run.task for run in runs]), durable)
+            if job.gang and job.status == OPEN:
+                # The rest cannot go on alone; the next attempt starts whole.
+                self.stop_gang(job, 0.0, "gang")
+        self.dirty = True
+
+    def finish(self, some: list[Run]) -> None:
+        """These tasks completed: their results count from the record on."""
+        by_job: dict[int, list[Run]] = {}
+        for run in some:
+            by_job.setdefault(run.job.index, []).append(run)
+        for runs in by_job.values():
+            job = runs[0].job
+            done = [run.task for run in runs if self.tables.finish_task(job, run.task)]
+            if job.gang and done:
+                # A gang completes together.
+                for task in range(job.spec.tasks):
+                    if self.tables.finish_task(job, task):
+                        done.append(task)
+            for run in runs:
+                self.tables.free(run)
+            whole = job.done_count == job.spec.tasks and not job.service
+            if whole and job.status == OPEN:
+                job.status = FINISHED
+
+            def durable(runs: list[Run] = runs, job: Job = job, whole: bool = whole) -> None:
+                for run in runs:
+                    run.exit_durable = True
+                if whole and job.status == FINISHED:
+                    job.done_durable = True
+                    for run in job.runs.values():
+                        if not job.gang:
+                            self.stop(run, 0.0, "over")
+                self._maybe_end(job)
+
+            self.write(records.done_records(job, done), durable)
+        self.dirty = True
+
+    # -- workers ------------------------------------------------------------------
+
+    def report(self, report: Report, slot: Any) -> None:
+        """A worker reports: take it in, renew its lease, give it its orders."""
+        if not self.authority.may_answer(self.now):
+            self.reply(slot, 503, users.error_body("not leading"))
+            return
+        if report.token > self.token:
+            # Somebody was elected after us, whatever our clock says.
+            self.reply(slot, 421, workers.redirect(None))
+            return
+        machine = self._machine_of(report)
+        if machine is None or report.session < machine.session:
+            self.reply(slot, 503, users.error_body("machine not known here"))
+            return
+        self._observe(machine, report)
+        if slot is not None:
+            # The worker counts its lease from when it sent this report, which
+            # is earlier than now: this bound is on the safe side.
+            machine.lease_until = self.now + self.worker_lease_s
+            self._pushes.discard(machine.index)
+            commands, _ = self.orders(machine, again=True)
+            self.reply(slot, 200, workers.answer(self.token, commands))
+
+    def _machine_of(self, report: Report) -> Machine | None:
+        machine = self.tables.machine(report.machine)
+        if machine is None:
+            machine = self.fleet.adopt(report)
+        return machine
+
+    def _observe(self, machine: Machine, report: Report) -> None:
+        if report.session > machine.session:
+            if machine.session:
+                log.info("machine %s moved to session %d", machine.name, report.session)
+            self.session_over(machine)
+            machine.session = report.session
+            machine.seq = -1
+        if report.seq <= machine.seq:
+            return
+        machine.seq = report.seq
+        machine.last_heard = self.now
+        machine.probe = 0
+        self.fleet.heard(machine, report)
+        fenced = report.token >= self.token
+        seen: set[tuple[str, int]] = set()
+        done: list[Run] = []
+        gone: list[Run] = []
+        for entry in report.tasks:
+            key = (entry.task, entry.attempt)
+            seen.add(key)
+            run = machine.runs.get(key)
+            if run is None:
+                self._stray(machine, entry)
+            else:
+                self._progress(machine, run, entry, done, gone)
+        for key, run in list(machine.runs.items()):
+            if key in seen:
+                continue
+            if run.state == ORDERED and run.mine:
+                # The start may still be under way; it is repeated until seen.
+                continue
+            if run.state == ORDERED and not fenced:
+                # An earlier leader's start may still arrive.
+                continue
+            if run.state == EXITED and run.uncertain:
+                continue
+            del machine.runs[key]
+            if run.state != EXITED:
+                run.state = EXITED
+                gone.append(run)
+        for key in [key for key in machine.strays if key not in seen]:
+            del machine.strays[key]
+        if done:
+            self.finish(done)
+        if gone:
+            self.free(gone, exited=True)
+        if machine.idle_since == 0.0 and machine.empty():
+            machine.idle_since = self.now
+
+    def _progress(
+        self, machine: Machine, run: Run, entry: TaskReport, done: list[Run], gone: list[Run]
+    ) -> None:
+        before = run.state
+        state = STATES.get(entry.state)
+        if state is None or before == EXITED:
+            return
+        if before == state:
+            return
+        run.state = state
+        if before == ORDERED and run.grace is not None:
+            self._pushes.add(machine.index)
+        if state in (RUNNING, WAITING) and run.running_since == 0.0:
+            run.running_since = self.now
+            spec = run.job.spec
+            cache = self.tables.types[machine.type].cache_gb
+            machine.remember_image(run.job.image, spec.image_gb, cache)
+        if state != EXITED:
+            return
+        why = entry.why or "error"
+        if why == "done" and run.job.status != CANCELLED:
+            machine.errors.clear()
+            done.append(run)
+            return
+        if why == "error":
+            self.fleet.task_failed(machine, run.job)
+        elif why in ("no_room", "in_use", "unknown"):
+            log.info("%s refused %s: %s", machine.name, run.name, why)
+            run.job.avoid[machine.index] = self.now + (1.0 if why == "unknown" else 3.0)
+        gone.append(run)
+
+    def _stray(self, machine: Machine, entry: TaskReport) -> None:
+        """An attempt that is none of ours: end it, or let it be forgotten."""
+        key = (entry.task, entry.attempt)
+        exited = entry.state == workers.EXITED
+        if key not in machine.strays:
+            log.info("stray %s attempt %d on %s", entry.task, entry.attempt, machine.name)
+            self._pushes.add(machine.index)
+        machine.strays[key] = exited
+
+    def session_over(self, machine: Machine) -> None:
+        """The worker killed and forgot all tasks of its session."""
+        runs = list(machine.runs.values())
+        machine.runs.clear()
+        machine.strays.clear()
+        freed = [run for run in runs if run.state != EXITED]
+        for run in freed:
+            run.state = EXITED
+        if freed:
+            log.info("machine %s lost %d tasks", machine.name, len(freed))
+            self.free(freed, exited=False)
+        machine.idle_since = self.now
+
+    def orders(
+        self, machine: Machine, again: bool
+    ) -> tuple[list[dict[str, Any]], tuple[tuple[str, int], ...]]:
+        """Commands for a worker; all of them can be repeated.
+
+        ``again`` repeats what was sent before: answers to reports do, since
+        the report shows what has not arrived yet.
+        """
+        commands: list[dict[str, Any]] = []
+        starts: list[tuple[str, int]] = []
+        cancel_s = self.settings.deployment.workers.cancel_s
+        for key, run in machine.runs.items():
+            if len(commands) >= MAX_COMMANDS:
+                break
+            if run.session != machine.session or not run.durable:
+                continue
+            if run.state == EXITED:
+                if run.exit_durable and not run.uncertain:
+                    commands.append(workers.clear(run.name, run.attempt))
+                continue
+            if run.state == ORDERED:
+                if run.grace is not None and self.now - run.stopped_at > cancel_s * 0.5:
+                    # Too late to start anything of a cancelled job: if the
+                    # start does not show itself, the machine is given up.
+                    continue
+                if again or run.grace is not None or not run.pushed:
+                    commands.append(workers.start(run.name, run.attempt))
+                    starts.append(key)
+                    run.pushed = run.mine = True
+                if run.grace is not None:
+                    # Started and ended at once: the worker then knows the
+                    # attempt, and a start still under way does nothing.
+                    commands.append(workers.stop(run.name, run.attempt, 0.0))
+                continue
+            if run.grace is not None:
+                commands.append(workers.stop(run.name, run.attempt, run.grace))
+        for (name, attempt), exited in machine.strays.items():
+            if exited:
+                commands.append(workers.clear(name, attempt))
+            else:
+                commands.append(workers.stop(name, attempt, 0.0))
+        return commands, tuple(starts)
+
+    def pushed(
+        self,
+        name: str,
+        session: int,
+        starts: tuple[tuple[str, int], ...],
+        outcome: str,
+        report: Report | None,
+    ) -> None:
+        """What became of a direct command: ``done``, ``refused`` or ``unknown``."""
+        machine = self.tables.machine(name)
+        if machine is None:
+            return
+        machine.pushing = False
+        for key in starts:
+            run = machine.runs.get(key)
+            if run is not None and run.session == session:
+                run.uncertain -= outcome != "unknown"
+        if report is not None and report.machine == name and report.session >= machine.session:
+            self._observe(machine, report)
+        if outcome != "done":
+            machine.failed_until = max(machine.failed_until, self.now + REORDER_S)
+        self.dirty = True
+
+    def probed(self, name: str, report: Report | None) -> None:
+        """A silent worker answered a probe, or did not."""
+        self.fleet.probed(name, report is not None)
+        machine = self.tables.machine(name)
+        if machine is not None and report is not None and report.session >= machine.session:
+            self._observe(machine, report)
+
+    def _push_orders(self) -> None:
+        if not self.authority.may_answer(self.now):
+            return
+        for index in list(self._pushes):
+            machine = self.tables.machines.get(index)
+            if machine is None or machine.asked_gone or not machine.addr or not machine.session:
+                self._pushes.discard(index)
+                continue
+            if machine.pushing:
+                continue
+            self._pushes.discard(index)
+            commands, starts = self.orders(machine, again=False)
+            if not commands:
+                continue
+            for key in starts:
+                machine.runs[key].uncertain += 1
+            machine.pushing = True
+            self.effects.append(Push(machine.name, machine.addr, machine.session, commands, starts))
+
+    # -- time -----------------------------------------------------------------------
+
+    def step(self, now: float, wall: float) -> None:
+        """Do what is due: placement, leases, the fleet, commands, snapshots."""
+        self.now, self.wall = now, wall
+        if now >= self.next_tick:
+            self.next_tick = now + 0.25
+            self._tick()
+        if self.dirty and now - self.placed_at >= PLACE_GAP_S and self.authority.may_write(now):
+            self._place()
+        if self._pushes:
+            self._push_orders()
+
+    def _tick(self) -> None:
+        for machine in list(self.tables.machines.values()):
+            if machine.runs and machine.lease_until < self.now and machine.session:
+                log.info("lease of machine %s ran out", machine.name)
+                self.session_over(machine)
+        cancel_s = self.settings.deployment.workers.cancel_s
+        for job in self.tables.jobs.values():
+            if not job.runs or not (job.cancel_durable or job.done_durable):
+                continue
+            for run in list(job.runs.values()):
+                if run.grace is None:
+                    self.stop(run, 0.0, "over")
+                elif self.now - run.stopped_at > cancel_s * 0.6:
+                    self.fleet.give_up(run.machine, "a cancelled task does not end")
+                elif run.machine.last_heard > self.now - 3 * REORDER_S:
+                    self._pushes.add(run.machine.index)
+        self.fleet.tick(self.now)
+        if self.fleet.shortages:
+            # Room also comes back with time: pauses and backoffs end.
+            self.dirty = True
+        self._maybe_snapshot()
+
+    def _maybe_snapshot(self) -> None:
+        journal = self.journal
+        if journal.snapshotting or journal.log_bytes < self.operator.snapshot_kb * 1024:
+            return
+        if journal.backlog() > 50 or not self.authority.may_write(self.now):
+            return
+        finals: list[list[Any]] = [list(entry) for entry in self.unsaved_finals]
+        self.unsaved_finals = []
+        live = records.live_records(self.tables, self.fleet.group_table())
+        log.info("snapshot: %d records, %d ended jobs", len(live), len(finals))
+        journal.start_snapshot(live, finals)
+
+    def _place(self) -> None:
+        """One placement pass; starts go out once they are durable."""
+        self.dirty = False
+        self.placed_at = self.now
+        if self.journal.backlog() > 1000:
+            self.dirty = True
+            return
+        workers_settings = self.settings.deployment.workers
+        heard_after = self.now - 2.5 * workers_settings.report_s - 0.5
+        placer = Placer(self.tables, self.now, self.wall, heard_after)
+        result = placer.run(self.operator.preempt)
+        for placement in result.placements:
+            job, machine = placement.job, placement.machine
+            machine.idle_since = 0.0
+            runs = [job.runs[task] for task in placement.tasks]
+            for run in runs:
+                run.ordered_at = self.now
+
+            def durable(runs: list[Run] = runs, machine: Machine = machine) -> None:
+                for run in runs:
+                    run.durable = True
+                self._pushes.add(machine.index)
+
+            self.write(
+                records.assign_records(
+                    job, placement.attempt, machine, machine.session, placement.tasks
+                ),
+                durable,
+            )
+        for run in result.victims:
+            grace = stop_grace(run)
+            run.grace = None
+            if run.job.gang:
+                self.stop_gang(run.job, grace, "preempt")
+            else:
+                self.stop(run, grace, "preempt")
+        self.fleet.shortages = result.shortages
+
+    # -- the cloud's answers -----------------------------------------------------------
+
+    def deleted(self, names: tuple[str, ...], ok: bool) -> None:
+        """A deletion answered 200 proves that machine and tasks are gone."""
+        for name in names:
+            machine = self.tables.machine(name)
+            if machine is None:
+                continue
+            if not ok:
+                machine.delete_at = self.now + 1.0
+                continue
+            self.session_over(machine)
+            self.tables.drop_machine(machine)
+            self.fleet.dropped(machine)
+            if machine.addr:
+                self.journal.append(records.gone_record(machine))
+        self.dirty = True
+
+    def delete(self, machines: list[Machine]) -> None:
+        for machine in machines:
+            machine.asked_gone = True
+            machine.delete_at = float("inf")
+        if machines:
+            self.effects.append(Delete(tuple(machine.name for machine in machines)))
--- /dev/null
+++ b/appleshift/coordination/desk.py
@@ -0,0 +1,195 @@
+"""The front desk: what arrives over HTTP, checked, answered, handed on or forwarded."""
+
+from __future__ import annotations
+
+import logging
+import queue
+import time
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import unquote, urlsplit
+
+from appleshift.coordination.election import Election
+from appleshift.coordination.leadership import Leadership
+from appleshift.protocol import peers, users, workers
+from appleshift.protocol.wire import ProtocolError, encode
+from appleshift.transport.client import ClientError, HttpClient
+from appleshift.transport.server import Request, Response
+
+log = logging.getLogger(__name__)
+
+JOBS = "/submissions"
+ANSWER_S = 4.0
+"""Users wait 5 s for most answers, workers 4 s; later ones help nobody."""
+FORWARD_S = 1.8
+HOLD_S = 0.4
+MAX_QUEUED = 2000
+
+Slot = queue.SimpleQueue[tuple[int, dict[str, Any], int]]
+
+
+def respond(status: int, body: Any, retry_after: int = 0) -> Response:
+    headers = {"Retry-After": str(retry_after)} if retry_after else {}
+    return Response(status, encode(body), headers)
+
+
+def unavailable() -> Response:
+    return respond(503, users.error_body("not available right now"), 1)
+
+
+class Desk:
+    """Routes of both listeners. Runs on the connections' routines."""
+
+    def __init__(
+        self,
+        election: Election,
+        leadership: Leadership,
+        siblings: dict[str, HttpClient],
+        post: Callable[..., None],
+        queued: Callable[[], int],
+    ) -> None:
+        self._election = election
+        self._leadership = leadership
+        self._siblings = siblings
+        self._post = post
+        self._queued = queued
+
+    # -- listeners ------------------------------------------------------------
+
+    def public(self, request: Request) -> Response:
+        """Users, workers and health checks."""
+        return self._guarded(request, forwarded=False)
+
+    def cluster(self, request: Request) -> Response:
+        """The siblings: pledges, and users' requests that they forward."""
+        if request.path == peers.PLEDGE_PATH and request.method == "POST":
+            return self._pledge(request.body)
+        if request.path == peers.HELLO_PATH and request.method == "GET":
+            leadership = self._leadership
+            hello = peers.Hello(self._election.name, leadership.leading, leadership.token)
+            return respond(200, hello)
+        return self._guarded(request, forwarded=True)
+
+    def _guarded(self, request: Request, forwarded: bool) -> Response:
+        try:
+            return self._route(request, forwarded)
+        except ProtocolError as error:
+            return respond(error.status, users.error_body(error.reason))
+        except Exception:
+            # One bad request must not end a routine, nor go unanswered.
+            log.exception("%s %s failed", request.method, request.path)
+            return respond(500, users.error_body("internal error"))
+
+    def _route(self, request: Request, forwarded: bool) -> Response:
+        path = urlsplit(request.path).path
+        method = request.method
+        if path == "/agent/beat":
+            return self._only(method, "POST") or self._beat(request.body)
+        if path == "/ready":
+            return self._only(method, "GET") or respond(200, {"ready": True})
+        if path == "/nodes":
+            return self._only(method, "GET") or self._nodes()
+        if path == JOBS:
+            return self._only(method, "POST") or self._submit(request, forwarded)
+        if path.startswith(JOBS + "/"):
+            rest = unquote(path[len(JOBS) + 1 :]).split("/")
+            if len(rest) == 1:
+                return self._only(method, "GET") or self._job("status", rest[0], request, forwarded)
+            if len(rest) == 2 and rest[1] == "abort":
+                return self._only(method, "POST") or self._job(
+                    "cancel", rest[0], request, forwarded
+                )
+        return respond(404, users.error_body("no such path"))
+
+    @staticmethod
+    def _only(method: str, allowed: str) -> Response | None:
+        if method == allowed or (method == "HEAD" and allowed == "GET"):
+            return None
+        response = respond(405, users.error_body(f"use {allowed}"))
+        response.headers["Allow"] = allowed
+        return response
+
+    # -- requests ----------------------------------------------------------------
+
+    def _submit(self, request: Request, forwarded: bool) -> Response:
+        spec = users.decode_submission(request.body)
+        if not self._leadership.leading:
+            return self._forward(request, forwarded, hold=False)
+        return self._ask("submit", spec)
+
+    def _job(self, kind: str, job_id: str, request: Request, forwarded: bool) -> Response:
+        if not users.valid_id(job_id):
+            # Users also ask about jobs that nobody can have submitted.
+            return respond(404, users.error_body("no such job"))
+        if not self._leadership.leading:
+            return self._forward(request, forwarded, hold=kind == "status")
+        return self._ask(kind, job_id)
+
+    def _beat(self, body: bytes) -> Response:
+        if not self._leadership.leading:
+            # A malformed report is refused by every node alike.
+            workers.decode_report(body)
+            return respond(421, workers.redirect(self._election.leader))
+        return self._ask("report", workers.decode_report(body))
+
+    def _ask(self, kind: str, what: Any) -> Response:
+        """Put it to the core and wait for the answer."""
+        if self._queued() > MAX_QUEUED:
+            return unavailable()
+        slot: Slot = queue.SimpleQueue()
+        self._post(kind, what, slot)
+        try:
+            status, body, retry_after = slot.get(timeout=ANSWER_S)
+        except queue.Empty:
+            return unavailable()
+        return respond(status, body, retry_after)
+
+    def _forward(self, request: Request, forwarded: bool, hold: bool) -> Response:
+        """Only the leader answers users, so that nobody gets an older answer."""
+        if forwarded:
+            # The sender's idea of the leader is out of date; it asks again.
+            return unavailable()
+        until = time.monotonic() + HOLD_S
+        while True:
+            leader = self._election.leader
+            if leader == self._election.name and self._leadership.leading:
+                return self._route(request, forwarded=True)
+            client = self._siblings.get(leader) if leader else None
+            if client is not None:
+                break
+            # A query may wait a moment for an election to end. A submission
+            # is answered at once: its user is better off asking again.
+            if not hold or time.monotonic() >= until:
+                return unavailable()
+            time.sleep(0.05)
+        try:
+            body = request.body if request.method == "POST" else None
+            status, answer, retry = client.request_full(
+                request.method, request.path, body, FORWARD_S
+            )
+        except ClientError as error:
+            log.debug("forwarding: %s", error)
+            return unavailable()
+        headers = {"Retry-After": retry} if retry else {}
+        return Response(status, answer, headers)
+
+    def _nodes(self) -> Response:
+        """For operators: who leads, as far as this node knows."""
+        leadership = self._leadership
+        body = {
+            "name": self._election.name,
+            "leading": leadership.leading,
+            "leader": self._election.leader,
+            "token": max(leadership.token, leadership.seen_token),
+        }
+        return respond(200, body)
+
+    def _pledge(self, body: bytes) -> Response:
+        try:
+            request = peers.decode_pledge(body)
+        except ProtocolError as error:
+            return respond(400, users.error_body(error.reason))
+        given = self._leadership.give_pledge(
+            request.leader, request.token, request.seq, request.for_s, time.monotonic()
+        )
+        return respond(200 if given else 409, {"given": given})
--- /dev/null
+++ b/appleshift/coordination/election.py
@@ -0,0 +1,256 @@
+"""The election duty: stand for leadership, keep the lease, collect pledges."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from appleshift.bookkeeping.store import LeaseGoneError, Store, StoreError, TxnFailedError
+from appleshift.coordination.leadership import Leadership
+from appleshift.protocol import peers, state
+from appleshift.protocol.operator import OperatorSettings
+from appleshift.protocol.wire import ProtocolError, encode
+from appleshift.transport.client import ClientError, HttpClient
+
+log = logging.getLogger(__name__)
+
+LEADER_KEY = "leader"
+TOKEN_KEY = "token"
+WATCH_S = 5.0
+PLEDGE_GAP_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """An election won."""
+
+    token: int
+    version: int
+    mark: str
+
+
+class Election:
+    """One routine that stands and renews, and one for each sibling's pledge."""
+
+    def __init__(
+        self,
+        name: str,
+        store: Store,
+        siblings: dict[str, HttpClient],
+        leadership: Leadership,
+        operator: OperatorSettings,
+        on_won: Callable[[Term], None],
+        on_lost: Callable[[], None],
+        mark: str,
+    ) -> None:
+        self.name = name
+        self.store = store
+        self.siblings = siblings
+        self.leadership = leadership
+        self.operator = operator
+        self.leader: str | None = None
+        self._on_won = on_won
+        self._on_lost = on_lost
+        self._mark = mark
+        self._attempt = 0
+        self._lease = 0
+        self._stale_lease: int | None = None
+        self._trouble = threading.Event()
+        self._stop = threading.Event()
+        self._deposed = threading.Event()
+        self._threads: list[threading.Thread] = []
+
+    def start(self) -> None:
+        self._spawn(self._run, "election")
+        for sibling in self.siblings:
+            self._spawn(self._hello, f"hello-{sibling}", sibling)
+            self._spawn(self._pledges, f"pledge-{sibling}", sibling)
+
+    def _spawn(self, target: Callable[..., None], name: str, *args: Any) -> None:
+        thread = threading.Thread(target=target, args=args, name=name, daemon=True)
+        thread.start()
+        self._threads.append(thread)
+
+    def stop(self) -> None:
+        """Give up leadership at once, so that another node need not wait."""
+        self._stop.set()
+        if self.leadership.leading:
+            self.leadership.lost()
+            self.store.drop_lease(self._lease)
+
+    def depose(self) -> None:
+        """A guarded write failed: somebody else leads, or nobody does."""
+        self._deposed.set()
+
+    # -- the election routine ----------------------------------------------------
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            try:
+                if self.leadership.leading:
+                    self._renew()
+                else:
+                    self._follow()
+            except StoreError as error:
+                log.debug("state service: %s", error)
+                self._stop.wait(0.2)
+            except ProtocolError as error:
+                log.error("unreadable record in the state service: %s", error.reason)
+                self._stop.wait(1.0)
+
+    def _follow(self) -> None:
+        if self._stale_lease is not None:
+            self._settle()
+        item = self.store.get(LEADER_KEY)
+        if item is None:
+            self.leader = None
+            if not self._stand():
+                self._stop.wait(0.15)
+            return
+        value = item.value if isinstance(item.value, dict) else {}
+        self.leader = str(value.get("name", ""))
+        if self.leader == self.name:
+            # Left by an attempt of ours or by this node before its restart.
+            self.leader = None
+            if isinstance(item.lease, int):
+                self.store.drop_lease(item.lease)
+            self._stop.wait(0.1)
+            return
+        changes = self.store.watch(LEADER_KEY, item.version, WATCH_S)
+        if changes is not None and any(change.get("remove") for change in changes.news):
+            self.leader = None
+
+    def _settle(self) -> None:
+        """An attempt without an answer may yet be applied, until its lease ends."""
+        assert self._stale_lease is not None
+        if self.store.drop_lease(self._stale_lease):
+            self._stale_lease = None
+            self.leadership.end_standing(settled=True)
+
+    def _stand(self) -> bool:
+        if self.leadership.unsettled() or not self.leadership.begin_standing(time.monotonic()):
+            return False
+        settled = True
+        lease: int | None = None
+        try:
+            sent = time.monotonic()
+            lease = self.store.grant(self.operator.leader_lease_s)
+            item = self.store.get(TOKEN_KEY)
+            version = 0 if item is None else item.version
+            token = 1 if item is None else int(item.value["token"]) + 1
+            token = max(token, self.leadership.seen_token + 1)
+            self._attempt += 1
+            mark = f"{self._mark}.{self._attempt}"
+            value = {"name": self.name, "token": token, "mark": mark}
+            guards = [state.guard(LEADER_KEY, 0), state.guard(TOKEN_KEY, version)]
+            changes = [
+                state.put(LEADER_KEY, value, lease),
+                state.put(TOKEN_KEY, {"token": token}),
+            ]
+            settled = False
+            try:
+                revision = self.store.txn(guards, changes)
+            except (TxnFailedError, LeaseGoneError) as error:
+                settled = True
+                log.debug("not elected: %s", error)
+                return False
+            except StoreError as error:
+                settled = error.refused
+                raise
+            self._lease = lease
+            self._deposed.clear()
+            self._trouble.clear()
+            self.leadership.won(token, sent, self.operator.leader_lease_s)
+            self.leader = self.name
+            settled = True
+            log.info("elected with token %d", token)
+            self._on_won(Term(token, revision, mark))
+            return True
+        finally:
+            if not self.leadership.leading:
+                if not settled:
+                    self._stale_lease = lease
+                elif lease is not None:
+                    self.store.drop_lease(lease)
+                self.leadership.end_standing(settled)
+
+    def _renew(self) -> None:
+        if self._deposed.is_set():
+            self._lose("deposed")
+            return
+        sent = time.monotonic()
+        try:
+            timeout = max(0.3, self.operator.leader_lease_s / 2)
+            self.store.renew(self._lease, timeout)
+        except LeaseGoneError:
+            self._lose("the lease ended")
+            return
+        except StoreError as error:
+            if not self._trouble.is_set():
+                log.info("renewal failed, asking the siblings for pledges: %s", error)
+            self._trouble.set()
+            self._stop.wait(0.2)
+            return
+        self.leadership.renewed(sent, self.operator.leader_lease_s)
+        if self._trouble.is_set():
+            log.info("renewed again")
+            self._trouble.clear()
+        self._deposed.wait(self.operator.renew_s)
+
+    def _lose(self, reason: str) -> None:
+        log.info("leadership lost: %s", reason)
+        self.leadership.lost()
+        self.leader = None
+        self._deposed.clear()
+        self._trouble.clear()
+        self._on_lost()
+        self.store.drop_lease(self._lease)
+
+    # -- one routine for each sibling ------------------------------------------------
+
+    def _hello(self, sibling: str) -> None:
+        """After a start, ask whether somebody leads: if nobody does, no promise binds."""
+        client = self.siblings[sibling]
+        while not self._stop.is_set() and not self.leadership.cleared(time.monotonic()):
+            try:
+                status, body = client.request("GET", peers.HELLO_PATH, None, 0.5)
+                if status == 200 and not peers.decode_hello(body).leading:
+                    self.leadership.sibling_cleared(sibling)
+                    return
+            except (ClientError, ProtocolError) as error:
+                log.debug("hello to %s: %s", sibling, error)
+            self._stop.wait(0.3)
+
+    def _pledges(self, sibling: str) -> None:
+        client = self.siblings[sibling]
+        seq = 0
+        while not self._stop.is_set():
+            if not self._trouble.wait(1.0):
+                continue
+            asked = False
+            while self._trouble.is_set() and self.leadership.leading:
+                sent = time.monotonic()
+                seq += 1
+                if self._ask(client, seq, self.operator.pledge_s):
+                    asked = True
+                    self.leadership.pledged_by(sibling, sent, time.monotonic())
+                self._stop.wait(PLEDGE_GAP_S)
+            if asked:
+                # First stop counting on the promise, then give it back.
+                self.leadership.release_pledges()
+                seq += 1
+                self._ask(client, seq, 0.0)
+
+    def _ask(self, client: HttpClient, seq: int, for_s: float) -> bool:
+        token = self.leadership.token
+        request = peers.PledgeRequest(self.name, token, seq, for_s)
+        try:
+            status, _ = client.request("POST", peers.PLEDGE_PATH, encode(request), 1.0)
+        except ClientError as error:
+            log.debug("pledge: %s", error)
+            return False
+        return status == 200
--- /dev/null
+++ b/appleshift/coordination/leadership.py
@@ -0,0 +1,143 @@
+"""What this node may do right now, and what it has promised to its siblings.
+
+Pure bookkeeping of times under one lock, so that no path through the threads
+can both pledge and stand. All times are of this node's steady clock; bounds on
+what others count are shortened by the clocks' possible drift.
+
+Why a pledge is enough: the leader is the only one while its lease holds. If
+every sibling promises, while the leader is still entitled, not to stand until
+a time beyond that, nobody can have been elected until the earliest of those
+times, whatever the state service does. One missing promise is as good as none.
+A sibling that restarts has forgotten its promise and waits it out, unless all
+its siblings tell it that none of them leads.
+"""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+
+DRIFT = 1.002
+MARGIN_S = 0.05
+
+
+@dataclass(slots=True)
+class _Pledge:
+    leader: str
+    token: int
+    seq: int
+    until: float
+
+
+class Leadership:
+    """Lease and pledges, seen from one node."""
+
+    def __init__(self, siblings: list[str], pledge_s: float, now: float) -> None:
+        self._lock = threading.Lock()
+        self._siblings = siblings
+        self._pledge_s = pledge_s
+        # A promise made before a restart holds until then.
+        self._cleared_at = now + pledge_s * DRIFT + MARGIN_S if siblings else now
+        self._cleared_by: set[str] = set()
+        self._given: _Pledge | None = None
+        self._standing = False
+        self._unsettled = False
+        self._lease_until = 0.0
+        self._granted: dict[str, float] = {}
+        self._pledge_until = 0.0
+        self.leading = False
+        self.token = 0
+        self.seen_token = 0
+
+    # -- what this node may do ------------------------------------------------
+
+    def may_write(self, now: float) -> bool:
+        return self.leading and now < self._lease_until
+
+    def may_answer(self, now: float) -> bool:
+        return self.leading and (now < self._lease_until or now < self._pledge_until)
+
+    # -- standing ---------------------------------------------------------------
+
+    def sibling_cleared(self, sibling: str) -> None:
+        """A sibling said, after our start, that it does not lead."""
+        with self._lock:
+            self._cleared_by.add(sibling)
+
+    def cleared(self, now: float) -> bool:
+        return now >= self._cleared_at or self._cleared_by.issuperset(self._siblings)
+
+    def begin_standing(self, now: float) -> bool:
+        with self._lock:
+            pledged = self._given is not None and now < self._given.until
+            if self.leading or pledged or not self.cleared(now):
+                return False
+            self._standing = True
+            return True
+
+    def end_standing(self, settled: bool) -> None:
+        """``settled``: no transaction of ours can elect us any more."""
+        with self._lock:
+            self._standing = False
+            self._unsettled = not settled
+
+    def unsettled(self) -> bool:
+        return self._unsettled
+
+    def won(self, token: int, lease_sent: float, ttl_s: float) -> None:
+        with self._lock:
+            self._standing = self._unsettled = False
+            self.leading = True
+            self.token = self.seen_token = token
+            self._granted.clear()
+            self._pledge_until = 0.0
+            self._lease_until = lease_sent + ttl_s / DRIFT - MARGIN_S
+
+    def renewed(self, sent: float, ttl_s: float) -> None:
+        with self._lock:
+            self._lease_until = max(self._lease_until, sent + ttl_s / DRIFT - MARGIN_S)
+
+    def lost(self) -> None:
+        with self._lock:
+            self.leading = False
+            self._lease_until = self._pledge_until = 0.0
+            self._granted.clear()
+
+    # -- pledges --------------------------------------------------------------------
+
+    def pledged_by(self, sibling: str, sent: float, now: float) -> None:
+        """A sibling promised; its time runs from when it got the request."""
+        with self._lock:
+            if not self.may_answer(now):
+                # The chain is broken: somebody may have been elected before.
+                return
+            self._granted[sibling] = sent + self._pledge_s / DRIFT - MARGIN_S
+            if self._granted.keys() >= set(self._siblings):
+                self._pledge_until = min(self._granted.values())
+
+    def release_pledges(self) -> None:
+        """The lease holds again: the siblings may be told that they are free."""
+        with self._lock:
+            self._granted.clear()
+            self._pledge_until = 0.0
+
+    def give_pledge(self, leader: str, token: int, seq: int, for_s: float, now: float) -> bool:
+        """Promise not to stand for a while; False if that cannot be promised."""
+        with self._lock:
+            if self.leading or self._standing or self._unsettled or token < self.seen_token:
+                return False
+            given = self._given
+            if given is not None and (token, seq) <= (given.token, given.seq):
+                # Delivered late: it must not undo a newer request.
+                return False
+            if given is not None and given.leader != leader and now < given.until:
+                return False
+            # A promise outlasts its asker's count of it; none is made that a
+            # restart would not wait out.
+            until = now + min(for_s, self._pledge_s) * DRIFT if for_s > 0 else 0.0
+            self.seen_token = token
+            self._given = _Pledge(leader, token, seq, until)
+            return True
+
+    def pledged_until(self) -> float:
+        return 0.0 if self._given is None else self._given.until
--- /dev/null
+++ b/appleshift/coordination/outbound.py
@@ -0,0 +1,214 @@
+"""What the core wants done outside: commands to workers, calls to the cloud."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from appleshift.coordination.effects import Delete, Inspect, Push, Rent
+from appleshift.protocol import cloud, workers
+from appleshift.protocol.settings import split_address
+from appleshift.protocol.wire import ProtocolError, decode, encode
+from appleshift.protocol.workers import Report, decode_report
+from appleshift.transport.client import ClientError, HttpClient, RateBudget
+
+log = logging.getLogger(__name__)
+
+PUSH_TIMEOUT_S = 1.5
+INSPECT_TIMEOUT_S = 1.0
+RENT_TRIES = 5
+
+Post = Callable[..., None]
+
+
+class WorkerCalls:
+    """Direct commands and probes, on a bounded set of routines."""
+
+    def __init__(self, post: Post, routines: int) -> None:
+        self._post = post
+        self._pool = ThreadPoolExecutor(routines, thread_name_prefix="worker-call")
+        self._clients: dict[str, HttpClient] = {}
+        self._lock = threading.Lock()
+
+    def push(self, effect: Push, token: int, term: Any) -> None:
+        self._submit(self._push, effect, token, term)
+
+    def inspect(self, effect: Inspect, term: Any) -> None:
+        self._submit(self._inspect, effect, term)
+
+    def _submit(self, call: Callable[..., None], *args: Any) -> None:
+        try:
+            self._pool.submit(call, *args)
+        except RuntimeError:
+            log.debug("shutting down: command dropped")
+
+    def _client(self, addr: str) -> HttpClient:
+        with self._lock:
+            client = self._clients.get(addr)
+            if client is None:
+                if len(self._clients) > 500:
+                    # Addresses of machines long gone.
+                    for old in self._clients.values():
+                        old.close()
+                    self._clients.clear()
+                client = self._clients[addr] = HttpClient(split_address(addr), keep=1, idle_s=8.0)
+            return client
+
+    def _push(self, effect: Push, token: int, term: Any) -> None:
+        outcome = "unknown"
+        report: Report | None = None
+        try:
+            body = encode(workers.direct(token, effect.session, effect.commands))
+            status, answer = self._client(effect.addr).request("POST", "/do", body, PUSH_TIMEOUT_S)
+            if status == 200:
+                outcome = "done"
+            elif status in (400, 409):
+                outcome = "refused"
+            if status in (200, 409):
+                report = decode_report(answer)
+        except (ClientError, ProtocolError, ValueError) as error:
+            log.debug("command to %s: %s", effect.machine, error)
+        self._post("pushed", term, effect.machine, effect.session, effect.starts, outcome, report)
+
+    def _inspect(self, effect: Inspect, term: Any) -> None:
+        report: Report | None = None
+        try:
+            client = self._client(effect.addr)
+            status, answer = client.request("GET", "/inspect", None, INSPECT_TIMEOUT_S)
+            if status == 200:
+                report = decode_report(answer)
+        except (ClientError, ProtocolError, ValueError) as error:
+            log.debug("probe of %s: %s", effect.machine, error)
+        self._post("probed", term, effect.machine, report)
+
+    def stop(self) -> None:
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+
+class CloudCalls:
+    """The cloud's calls, within its rate: rentals and deletions before lists."""
+
+    def __init__(self, post: Post, client: HttpClient, rps: float, list_gap_s: float) -> None:
+        self._post = post
+        self._client = client
+        self._budget = RateBudget(max(0.5, rps * 0.9))
+        self._pool = ThreadPoolExecutor(3, thread_name_prefix="cloud-call")
+        self._list_gap_s = list_gap_s
+        self._stop = threading.Event()
+        self._wake = threading.Event()
+        self._term: Any = None
+        self._thread = threading.Thread(target=self._poll, name="cloud-list", daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def lead(self, term: Any) -> None:
+        """Look at the cloud for this term; None: no longer leading."""
+        self._term = term
+        self._wake.set()
+
+    def stop(self) -> None:
+        self._stop.set()
+        self._wake.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def rent(self, effect: Rent, term: Any) -> None:
+        self._submit(self._rent, effect, term)
+
+    def delete(self, effect: Delete, term: Any) -> None:
+        self._submit(self._delete, effect, term)
+
+    def _submit(self, call: Callable[..., None], *args: Any) -> None:
+        try:
+            self._pool.submit(call, *args)
+        except RuntimeError:
+            log.debug("shutting down: call dropped")
+
+    def _request(
+        self, method: str, path: str, body: Any, timeout: float = 3.0
+    ) -> tuple[int, bytes]:
+        self._budget.wait()
+        return self._client.request(method, path, None if body is None else encode(body), timeout)
+
+    def _rent(self, effect: Rent, term: Any) -> None:
+        names: list[str] | None = None
+        refused = False
+        body = cloud.rent_body(effect.request, effect.type, effect.zone, effect.spot, effect.count)
+        for attempt in range(RENT_TRIES):
+            if self._term is not term or self._stop.wait(0.5 * attempt):
+                break
+            try:
+                status, answer = self._request("POST", "/machines", body)
+                if status == 200:
+                    names = cloud.decode_rented(answer)
+                    break
+                if status == 503 and _is_capacity(answer):
+                    refused = True
+                    break
+                if status == 400:
+                    log.error("the cloud calls a rental malformed: %s", body)
+                    refused = True
+                    break
+            except (ClientError, ProtocolError) as error:
+                log.info("rental: %s", error)
+        self._post("rented", term, effect.request, names, refused)
+
+    def _delete(self, effect: Delete, term: Any) -> None:
+        ok = False
+        try:
+            status, _ = self._request(
+                "POST", "/machines/delete", cloud.delete_body([*effect.machines])
+            )
+            ok = status == 200
+        except ClientError as error:
+            log.info("deletion: %s", error)
+        self._post("deleted", term, effect.machines, ok)
+
+    def _poll(self) -> None:
+        types_at = -1e9
+        seen: Any = None
+        while not self._stop.is_set():
+            term = self._term
+            if term is None:
+                self._wake.wait(1.0)
+                self._wake.clear()
+                continue
+            if term is not seen:
+                seen, types_at = term, -1e9
+            try:
+                if time.monotonic() - types_at > 20.0:
+                    status, body = self._request("GET", "/machine_types", None)
+                    if status == 200:
+                        self._post("types", term, cloud.decode_types(body))
+                        types_at = time.monotonic()
+                self._list(term)
+            except (ClientError, ProtocolError) as error:
+                log.info("cloud: %s", error)
+            self._stop.wait(self._list_gap_s)
+
+    def _list(self, term: Any) -> None:
+        rows: list[cloud.ListedMachine] = []
+        after = ""
+        asked_at = time.monotonic()
+        while True:
+            status, body = self._request("GET", cloud.list_path(after), None)
+            if status != 200:
+                return
+            page = cloud.decode_list(body)
+            rows += page.machines
+            if not page.more or not page.machines:
+                break
+            after = page.machines[-1].name
+        self._post("listed", term, rows, asked_at)
+
+
+def _is_capacity(answer: bytes) -> bool:
+    try:
+        body = decode(answer)
+    except ProtocolError:
+        return False
+    return isinstance(body, dict) and "capacity" in str(body.get("error", ""))
--- /dev/null
+++ b/appleshift/node.py
@@ -0,0 +1,273 @@
+"""One controller node: puts the layers together and owns the core's routine."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import queue
+import random
+import secrets
+import threading
+import time
+from typing import Any
+
+from appleshift.bookkeeping.journal import Journal
+from appleshift.bookkeeping.records import Replay
+from appleshift.bookkeeping.store import Store, StoreError, recover
+from appleshift.bookkeeping.tables import Tables
+from appleshift.coordination.commit import Committer
+from appleshift.coordination.core import Core
+from appleshift.coordination.desk import Desk
+from appleshift.coordination.effects import Delete, Effect, Inspect, Push, Rent, Reply
+from appleshift.coordination.election import LEADER_KEY, Election, Term
+from appleshift.coordination.leadership import Leadership
+from appleshift.coordination.outbound import CloudCalls, WorkerCalls
+from appleshift.protocol import users
+from appleshift.protocol.operator import OperatorSettings
+from appleshift.protocol.settings import Settings, split_address
+from appleshift.transport.client import HttpClient
+from appleshift.transport.server import Listener
+
+log = logging.getLogger(__name__)
+
+STACK_BYTES = 256 * 1024
+IDLE_WAIT_S = 0.1
+BUSY_WAIT_S = 0.02
+MAX_BATCH = 64
+
+
+class Node:
+    """All routines of one process."""
+
+    def __init__(self, settings: Settings, operator: OperatorSettings) -> None:
+        threading.stack_size(STACK_BYTES)
+        self.settings = settings
+        self.operator = operator
+        deployment = settings.deployment
+        self._events: queue.SimpleQueue[tuple[Any, ...]] = queue.SimpleQueue()
+        self._core: Core | None = None
+        self._term: Term | None = None
+        self._stop = threading.Event()
+        siblings = {
+            sibling.name: HttpClient(split_address(sibling.peer_addr), keep=16)
+            for sibling in settings.siblings
+        }
+        self.leadership = Leadership(list(siblings), operator.pledge_s, time.monotonic())
+        self.store = Store(HttpClient(split_address(settings.external.state)), deployment.state.rps)
+        self.election = Election(
+            settings.name,
+            self.store,
+            siblings,
+            self.leadership,
+            operator,
+            on_won=lambda term: self._post("won", term),
+            on_lost=lambda: self._post("lost"),
+            # Marks this process's writes; a restarted one gets another.
+            mark=f"{settings.name}.{secrets.token_hex(4)}",
+        )
+        limits = deployment.machine_limits
+        connections = max(8, int(min(limits.max_sockets * 0.5, limits.memory_mb * 3)))
+        self.desk = Desk(self.election, self.leadership, siblings, self._post, self._events.qsize)
+        self.public = Listener(
+            split_address(settings.listen), self.desk.public, connections, "listen"
+        )
+        self.cluster = Listener(
+            split_address(settings.cluster_listen), self.desk.cluster, connections // 2, "cluster"
+        )
+        self.committer = Committer(self.store, self._post, lambda: self._term)
+        self.workers = WorkerCalls(self._post, max(4, min(24, connections // 8)))
+        self.cloud = CloudCalls(
+            self._post,
+            HttpClient(split_address(settings.external.cloud)),
+            deployment.cloud.rps,
+            list_gap_s=max(1.0, 4.0 / deployment.cloud.rps),
+        )
+        self._thread = threading.Thread(target=self._run, name="core", daemon=True)
+
+    # -- life -----------------------------------------------------------------
+
+    def start(self) -> None:
+        # What was loaded at start lives for good: the collector may skip it.
+        gc.collect()
+        gc.freeze()
+        self._thread.start()
+        self.committer.start()
+        self.cloud.start()
+        self.cluster.start()
+        self.public.start()
+        self.election.start()
+        log.info("%s serves on %s", self.settings.name, self.settings.listen)
+
+    def stop(self) -> None:
+        """Orderly end: take no more, give up leadership, end the routines."""
+        self._stop.set()
+        self.public.stop()
+        self.election.stop()
+        self.cluster.stop()
+        self._post("lost")
+        self.committer.stop()
+        self.cloud.stop()
+        self.workers.stop()
+        self._thread.join(2.0)
+
+    def _post(self, *event: Any) -> None:
+        self._events.put(event)
+
+    # -- the core's routine ------------------------------------------------------
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            try:
+                self._round()
+            except Exception:
+                # The core's state can no longer be trusted; what is durable
+                # can. Another term starts from there.
+                log.exception("core failed: giving up this term")
+                self._core = None
+                self._term = None
+                self.cloud.lead(None)
+                self.election.depose()
+
+    def _round(self) -> None:
+        core = self._core
+        busy = core is not None and (core.dirty or core.journal.backlog() > 0)
+        try:
+            event = self._events.get(timeout=BUSY_WAIT_S if busy else IDLE_WAIT_S)
+            for _ in range(MAX_BATCH):
+                self._handle(event)
+                event = self._events.get_nowait()
+        except queue.Empty:
+            pass
+        core = self._core
+        if core is None:
+            return
+        now = time.monotonic()
+        core.step(now, time.time())
+        if self.leadership.may_write(now):
+            txn = core.journal.next_txn(now)
+            if txn is not None:
+                self.committer.send(txn, self._term)
+        for effect in core.take_effects():
+            self._carry_out(core, effect)
+
+    def _carry_out(self, core: Core, effect: Effect) -> None:
+        term = self._term
+        if isinstance(effect, Reply):
+            effect.slot.put((effect.status, effect.body, effect.retry_after))
+        elif isinstance(effect, Push):
+            self.workers.push(effect, core.token, term)
+        elif isinstance(effect, Inspect):
+            self.workers.inspect(effect, term)
+        elif isinstance(effect, Rent):
+            self.cloud.rent(effect, term)
+        elif isinstance(effect, Delete):
+            self.cloud.delete(effect, term)
+
+    def _handle(self, event: tuple[Any, ...]) -> None:
+        kind = event[0]
+        if kind == "won":
+            self._begin(event[1])
+            return
+        if kind == "lost":
+            self._end()
+            return
+        core = self._core
+        if kind in ("submit", "status", "cancel", "report"):
+            if core is None:
+                event[2].put((503, users.error_body("no leader yet"), 1))
+                return
+            core.now = time.monotonic()
+            if kind == "submit":
+                core.submit(event[1], event[2], time.time())
+            elif kind == "status":
+                core.status(event[1], event[2])
+            elif kind == "cancel":
+                core.cancel(event[1], event[2])
+            else:
+                core.report(event[1], event[2])
+            return
+        # The rest belongs to a term; what comes from an earlier one is void.
+        if core is None or event[1] is not self._term:
+            return
+        core.now = time.monotonic()
+        if kind == "committed":
+            core.committed(event[2])
+        elif kind == "stalled":
+            core.stalled()
+        elif kind == "deposed":
+            self._end()
+            self.election.depose()
+        elif kind == "pushed":
+            core.pushed(*event[2:])
+        elif kind == "probed":
+            core.probed(event[2], event[3])
+        elif kind == "types":
+            core.fleet.types(event[2])
+        elif kind == "listed":
+            core.fleet.listed(event[2], event[3])
+        elif kind == "rented":
+            core.fleet.rented(event[2], event[3], event[4])
+        elif kind == "deleted":
+            core.deleted(event[2], event[3])
+
+    def _begin(self, term: Term) -> None:
+        """Recover what is durable; only then does anyone get an answer."""
+        deployment = self.settings.deployment
+        began = time.monotonic()
+        while True:
+            if self._stop.is_set() or not self.leadership.leading:
+                return
+            if self.leadership.token != term.token:
+                return
+            replay = Replay(Tables(deployment.zones, deployment.teams))
+            try:
+                meta, meta_version, next_log, leftovers = recover(self.store, replay)
+                break
+            except StoreError as error:
+                log.info("recovery: %s", error)
+                self._stop.wait(0.2)
+        now = time.monotonic()
+        limits = deployment.state
+        journal = Journal(
+            leader_key=LEADER_KEY,
+            leader_version=term.version,
+            term_mark=term.mark,
+            write_rps=max(1.0, limits.write_rps * self.operator.write_share),
+            value_bytes=int(limits.value_kb * 1024),
+            txn_ops=limits.txn_ops,
+            meta=meta,
+            meta_version=meta_version,
+            next_log=next_log,
+            now=now,
+        )
+        journal.sweep(leftovers)
+        self._core = Core(
+            self.settings,
+            self.operator,
+            self.leadership,
+            term.token,
+            replay,
+            journal,
+            now,
+            random.Random(term.token),
+        )
+        self._term = term
+        self.cloud.lead(term)
+        log.info(
+            "leading with token %d: %d jobs, %d machines, recovered in %.0f ms",
+            term.token,
+            len(replay.tables.jobs),
+            len(replay.tables.machines),
+            (now - began) * 1000,
+        )
+
+    def _end(self) -> None:
+        core = self._core
+        self._core = None
+        self._term = None
+        self.cloud.lead(None)
+        if core is not None:
+            core.abandon()
+            for effect in core.take_effects():
+                if isinstance(effect, Reply):
+                    effect.slot.put((effect.status, effect.body, effect.retry_after))
--- /dev/null
+++ b/appleshift/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Every message on the wire, as typed structs. The wire names live only here."""
--- /dev/null
+++ b/appleshift/protocol/peers.py
@@ -0,0 +1,39 @@
+"""Messages between controller nodes: pledges and forwarded requests."""
+
+from __future__ import annotations
+
+import msgspec
+
+from appleshift.protocol.wire import decode_as
+
+PLEDGE_PATH = "/peer/pledge"
+HELLO_PATH = "/peer/hello"
+
+
+class PledgeRequest(msgspec.Struct, frozen=True):
+    """The leader asks a sibling not to stand for election for a while."""
+
+    leader: str
+    token: int
+    seq: int
+    for_s: float
+
+
+class Hello(msgspec.Struct, frozen=True):
+    """What a sibling says of itself."""
+
+    name: str
+    leading: bool
+    token: int
+
+
+_pledge = msgspec.msgpack.Decoder(PledgeRequest)
+_hello = msgspec.msgpack.Decoder(Hello)
+
+
+def decode_pledge(body: bytes) -> PledgeRequest:
+    return decode_as(_pledge, body)
+
+
+def decode_hello(body: bytes) -> Hello:
+    return decode_as(_hello, body)
