--- a/appleshift/bookkeeping/store.py
+++ b/appleshift/bookkeeping/store.py
@@ -8,7 +8,8 @@
 from appleshift.bookkeeping.records import Replay
 from appleshift.protocol import state
 from appleshift.protocol.wire import ProtocolError, encode
-from appleshift.transport.client import ClientError, HttpClient, RateBudget
+from appleshift.transport.client import Caller, ClientError
+from appleshift.transport.routines import RateBudget, Routines
 
 PAGE_ITEMS = 60
 
@@ -36,9 +37,9 @@
 class Store:
     """Blocking calls; every failure is one of the errors above."""
 
-    def __init__(self, client: HttpClient, rps: float) -> None:
+    def __init__(self, client: Caller, rps: float, routines: Routines) -> None:
         self._client = client
-        self._budget = RateBudget(max(1.0, rps * 0.3))
+        self._budget = RateBudget(routines, max(1.0, rps * 0.3))
 
     def _call(self, method: str, path: str, body: Any, timeout: float) -> tuple[int, bytes]:
         self._budget.wait()
--- a/appleshift/cli.py
+++ b/appleshift/cli.py
@@ -77,6 +77,7 @@
     node_settings = load_operator_settings(operator)
     try:
         node = Node(settings, node_settings)
+        node.listen()
     except OSError as error:
         print(f"appleshift: cannot listen: {error}", file=sys.stderr)
         return 1
--- a/appleshift/coordination/commit.py
+++ b/appleshift/coordination/commit.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import logging
-import queue
-import threading
 from collections.abc import Callable
 from typing import Any
 
 from appleshift.bookkeeping.journal import Txn
 from appleshift.bookkeeping.store import LeaseGoneError, Store, StoreError, TxnFailedError
+from appleshift.transport.routines import Routines
 
 log = logging.getLogger(__name__)
 
@@ -19,16 +18,22 @@
 class Committer:
     """One routine; it has at most one transaction under way."""
 
-    def __init__(self, store: Store, post: Callable[..., None], current: Callable[[], Any]) -> None:
+    def __init__(
+        self,
+        store: Store,
+        post: Callable[..., None],
+        current: Callable[[], Any],
+        routines: Routines,
+    ) -> None:
         self._store = store
         self._post = post
         self._current = current
-        self._queue: queue.SimpleQueue[tuple[Txn, Any] | None] = queue.SimpleQueue()
-        self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="commit", daemon=True)
+        self._routines = routines
+        self._queue = routines.mailbox()
+        self._stop = routines.flag()
 
     def start(self) -> None:
-        self._thread.start()
+        self._routines.spawn("commit", self._run)
 
     def stop(self) -> None:
         self._stop.set()
--- a/appleshift/coordination/desk.py
+++ b/appleshift/coordination/desk.py
@@ -4,7 +4,6 @@
 
 import logging
 import queue
-import time
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import unquote, urlsplit
@@ -13,7 +12,8 @@
 from appleshift.coordination.leadership import Leadership
 from appleshift.protocol import peers, users, workers
 from appleshift.protocol.wire import ProtocolError, encode
-from appleshift.transport.client import ClientError, HttpClient
+from appleshift.transport.client import Caller, ClientError
+from appleshift.transport.routines import Routines
 from appleshift.transport.server import Request, Response
 
 log = logging.getLogger(__name__)
@@ -25,8 +25,6 @@
 HOLD_S = 0.4
 MAX_QUEUED = 2000
 
-Slot = queue.SimpleQueue[tuple[int, dict[str, Any], int]]
-
 
 def respond(status: int, body: Any, retry_after: int = 0) -> Response:
     headers = {"Retry-After": str(retry_after)} if retry_after else {}
@@ -44,10 +42,12 @@
         self,
         election: Election,
         leadership: Leadership,
-        siblings: dict[str, HttpClient],
+        siblings: dict[str, Caller],
         post: Callable[..., None],
         queued: Callable[[], int],
+        routines: Routines,
     ) -> None:
+        self._routines = routines
         self._election = election
         self._leadership = leadership
         self._siblings = siblings
@@ -136,7 +136,7 @@
         """Put it to the core and wait for the answer."""
         if self._queued() > MAX_QUEUED:
             return unavailable()
-        slot: Slot = queue.SimpleQueue()
+        slot = self._routines.mailbox()
         self._post(kind, what, slot)
         try:
             status, body, retry_after = slot.get(timeout=ANSWER_S)
@@ -149,7 +149,7 @@
         if forwarded:
             # The sender's idea of the leader is out of date; it asks again.
             return unavailable()
-        until = time.monotonic() + HOLD_S
+        until = self._routines.now() + HOLD_S
         while True:
             leader = self._election.leader
             if leader == self._election.name and self._leadership.leading:
@@ -159,9 +159,9 @@
                 break
             # A query may wait a moment for an election to end. A submission
             # is answered at once: its user is better off asking again.
-            if not hold or time.monotonic() >= until:
+            if not hold or self._routines.now() >= until:
                 return unavailable()
-            time.sleep(0.05)
+            self._routines.sleep(0.05)
         try:
             body = request.body if request.method == "POST" else None
             status, answer, retry = client.request_full(
@@ -190,6 +190,6 @@
         except ProtocolError as error:
             return respond(400, users.error_body(error.reason))
         given = self._leadership.give_pledge(
-            request.leader, request.token, request.seq, request.for_s, time.monotonic()
+            request.leader, request.token, request.seq, request.for_s, self._routines.now()
         )
         return respond(200 if given else 409, {"given": given})
--- a/appleshift/coordination/election.py
+++ b/appleshift/coordination/election.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import logging
-import threading
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 from appleshift.bookkeeping.store import LeaseGoneError, Store, StoreError, TxnFailedError
 from appleshift.coordination.leadership import Leadership
 from appleshift.protocol import peers, state
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.wire import ProtocolError, encode
-from appleshift.transport.client import ClientError, HttpClient
+from appleshift.transport.client import Caller, ClientError
+from appleshift.transport.routines import Routines
 
 log = logging.getLogger(__name__)
 
@@ -40,12 +38,13 @@
         self,
         name: str,
         store: Store,
-        siblings: dict[str, HttpClient],
+        siblings: dict[str, Caller],
         leadership: Leadership,
         operator: OperatorSettings,
         on_won: Callable[[Term], None],
         on_lost: Callable[[], None],
         mark: str,
+        routines: Routines,
     ) -> None:
         self.name = name
         self.store = store
@@ -59,21 +58,17 @@
         self._attempt = 0
         self._lease = 0
         self._stale_lease: int | None = None
-        self._trouble = threading.Event()
-        self._stop = threading.Event()
-        self._deposed = threading.Event()
-        self._threads: list[threading.Thread] = []
+        self._routines = routines
+        self._now = routines.now
+        self._trouble = routines.flag()
+        self._stop = routines.flag()
+        self._deposed = routines.flag()
 
     def start(self) -> None:
-        self._spawn(self._run, "election")
+        self._routines.spawn("election", self._run)
         for sibling in self.siblings:
-            self._spawn(self._hello, f"hello-{sibling}", sibling)
-            self._spawn(self._pledges, f"pledge-{sibling}", sibling)
-
-    def _spawn(self, target: Callable[..., None], name: str, *args: Any) -> None:
-        thread = threading.Thread(target=target, args=args, name=name, daemon=True)
-        thread.start()
-        self._threads.append(thread)
+            self._routines.spawn(f"hello-{sibling}", self._hello, sibling)
+            self._routines.spawn(f"pledge-{sibling}", self._pledges, sibling)
 
     def stop(self) -> None:
         """Give up leadership at once, so that another node need not wait."""
@@ -132,12 +127,12 @@
             self.leadership.end_standing(settled=True)
 
     def _stand(self) -> bool:
-        if self.leadership.unsettled() or not self.leadership.begin_standing(time.monotonic()):
+        if self.leadership.unsettled() or not self.leadership.begin_standing(self._now()):
             return False
         settled = True
         lease: int | None = None
         try:
-            sent = time.monotonic()
+            sent = self._now()
             lease = self.store.grant(self.operator.leader_lease_s)
             item = self.store.get(TOKEN_KEY)
             version = 0 if item is None else item.version
@@ -182,7 +177,7 @@
         if self._deposed.is_set():
             self._lose("deposed")
             return
-        sent = time.monotonic()
+        sent = self._now()
         try:
             timeout = max(0.3, self.operator.leader_lease_s / 2)
             self.store.renew(self._lease, timeout)
@@ -215,7 +210,7 @@
     def _hello(self, sibling: str) -> None:
         """After a start, ask whether somebody leads: if nobody does, no promise binds."""
         client = self.siblings[sibling]
-        while not self._stop.is_set() and not self.leadership.cleared(time.monotonic()):
+        while not self._stop.is_set() and not self.leadership.cleared(self._now()):
             try:
                 status, body = client.request("GET", peers.HELLO_PATH, None, 0.5)
                 if status == 200 and not peers.decode_hello(body).leading:
@@ -233,11 +228,11 @@
                 continue
             asked = False
             while self._trouble.is_set() and self.leadership.leading:
-                sent = time.monotonic()
+                sent = self._now()
                 seq += 1
                 if self._ask(client, seq, self.operator.pledge_s):
                     asked = True
-                    self.leadership.pledged_by(sibling, sent, time.monotonic())
+                    self.leadership.pledged_by(sibling, sent, self._now())
                 self._stop.wait(PLEDGE_GAP_S)
             if asked:
                 # First stop counting on the promise, then give it back.
@@ -245,7 +240,7 @@
                 seq += 1
                 self._ask(client, seq, 0.0)
 
-    def _ask(self, client: HttpClient, seq: int, for_s: float) -> bool:
+    def _ask(self, client: Caller, seq: int, for_s: float) -> bool:
         token = self.leadership.token
         request = peers.PledgeRequest(self.name, token, seq, for_s)
         try:
--- a/appleshift/coordination/outbound.py
+++ b/appleshift/coordination/outbound.py
@@ -4,9 +4,7 @@
 
 import logging
 import threading
-import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from appleshift.coordination.effects import Delete, Inspect, Push, Rent
@@ -14,7 +12,8 @@
 from appleshift.protocol.settings import split_address
 from appleshift.protocol.wire import ProtocolError, decode, encode
 from appleshift.protocol.workers import Report, decode_report
-from appleshift.transport.client import ClientError, HttpClient, RateBudget
+from appleshift.transport.client import Caller, ClientError
+from appleshift.transport.routines import Pool, RateBudget, Routines
 
 log = logging.getLogger(__name__)
 
@@ -23,30 +22,26 @@
 RENT_TRIES = 5
 
 Post = Callable[..., None]
+Connect = Callable[[tuple[str, int]], Caller]
 
 
 class WorkerCalls:
     """Direct commands and probes, on a bounded set of routines."""
 
-    def __init__(self, post: Post, routines: int) -> None:
+    def __init__(self, post: Post, connect: Connect, routines: Routines, size: int) -> None:
         self._post = post
-        self._pool = ThreadPoolExecutor(routines, thread_name_prefix="worker-call")
-        self._clients: dict[str, HttpClient] = {}
+        self._connect = connect
+        self._pool = Pool(routines, "worker-call", size)
+        self._clients: dict[str, Caller] = {}
         self._lock = threading.Lock()
 
     def push(self, effect: Push, token: int, term: Any) -> None:
-        self._submit(self._push, effect, token, term)
+        self._pool.submit(self._push, effect, token, term)
 
     def inspect(self, effect: Inspect, term: Any) -> None:
-        self._submit(self._inspect, effect, term)
+        self._pool.submit(self._inspect, effect, term)
 
-    def _submit(self, call: Callable[..., None], *args: Any) -> None:
-        try:
-            self._pool.submit(call, *args)
-        except RuntimeError:
-            log.debug("shutting down: command dropped")
-
-    def _client(self, addr: str) -> HttpClient:
+    def _client(self, addr: str) -> Caller:
         with self._lock:
             client = self._clients.get(addr)
             if client is None:
@@ -55,7 +50,7 @@
                     for old in self._clients.values():
                         old.close()
                     self._clients.clear()
-                client = self._clients[addr] = HttpClient(split_address(addr), keep=1, idle_s=8.0)
+                client = self._clients[addr] = self._connect(split_address(addr))
             return client
 
     def _push(self, effect: Push, token: int, term: Any) -> None:
@@ -86,25 +81,25 @@
         self._post("probed", term, effect.machine, report)
 
     def stop(self) -> None:
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._pool.stop()
 
 
 class CloudCalls:
     """The cloud's calls, within its rate: rentals and deletions before lists."""
 
-    def __init__(self, post: Post, client: HttpClient, rps: float, list_gap_s: float) -> None:
+    def __init__(self, post: Post, client: Caller, routines: Routines, rps: float) -> None:
         self._post = post
         self._client = client
-        self._budget = RateBudget(max(0.5, rps * 0.9))
-        self._pool = ThreadPoolExecutor(3, thread_name_prefix="cloud-call")
-        self._list_gap_s = list_gap_s
-        self._stop = threading.Event()
-        self._wake = threading.Event()
+        self._routines = routines
+        self._budget = RateBudget(routines, max(0.5, rps * 0.9))
+        self._pool = Pool(routines, "cloud-call", 3)
+        self._list_gap_s = max(1.0, 4.0 / rps)
+        self._stop = routines.flag()
+        self._wake = routines.flag()
         self._term: Any = None
-        self._thread = threading.Thread(target=self._poll, name="cloud-list", daemon=True)
 
     def start(self) -> None:
-        self._thread.start()
+        self._routines.spawn("cloud-list", self._poll)
 
     def lead(self, term: Any) -> None:
         """Look at the cloud for this term; None: no longer leading."""
@@ -114,19 +109,13 @@
     def stop(self) -> None:
         self._stop.set()
         self._wake.set()
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._pool.stop()
 
     def rent(self, effect: Rent, term: Any) -> None:
-        self._submit(self._rent, effect, term)
+        self._pool.submit(self._rent, effect, term)
 
     def delete(self, effect: Delete, term: Any) -> None:
-        self._submit(self._delete, effect, term)
-
-    def _submit(self, call: Callable[..., None], *args: Any) -> None:
-        try:
-            self._pool.submit(call, *args)
-        except RuntimeError:
-            log.debug("shutting down: call dropped")
+        self._pool.submit(self._delete, effect, term)
 
     def _request(
         self, method: str, path: str, body: Any, timeout: float = 3.0
@@ -180,11 +169,11 @@
             if term is not seen:
                 seen, types_at = term, -1e9
             try:
-                if time.monotonic() - types_at > 20.0:
+                if self._routines.now() - types_at > 20.0:
                     status, body = self._request("GET", "/machine_types", None)
                     if status == 200:
                         self._post("types", term, cloud.decode_types(body))
-                        types_at = time.monotonic()
+                        types_at = self._routines.now()
                 self._list(term)
             except (ClientError, ProtocolError) as error:
                 log.info("cloud: %s", error)
@@ -193,7 +182,7 @@
     def _list(self, term: Any) -> None:
         rows: list[cloud.ListedMachine] = []
         after = ""
-        asked_at = time.monotonic()
+        asked_at = self._routines.now()
         while True:
             status, body = self._request("GET", cloud.list_path(after), None)
             if status != 200:
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -7,8 +7,7 @@
 import queue
 import random
 import secrets
-import threading
-import time
+from collections.abc import Callable
 from typing import Any
 
 from appleshift.bookkeeping.journal import Journal
@@ -25,12 +24,12 @@
 from appleshift.protocol import users
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Settings, split_address
-from appleshift.transport.client import HttpClient
+from appleshift.transport.client import Caller, HttpClient
+from appleshift.transport.routines import Routines, Threads
 from appleshift.transport.server import Listener
 
 log = logging.getLogger(__name__)
 
-STACK_BYTES = 256 * 1024
 IDLE_WAIT_S = 0.1
 BUSY_WAIT_S = 0.02
 MAX_BATCH = 64
@@ -39,21 +38,28 @@
 class Node:
     """All routines of one process."""
 
-    def __init__(self, settings: Settings, operator: OperatorSettings) -> None:
-        threading.stack_size(STACK_BYTES)
+    def __init__(
+        self,
+        settings: Settings,
+        operator: OperatorSettings,
+        routines: Routines | None = None,
+        connect: Callable[[tuple[str, int]], Caller] = HttpClient,
+    ) -> None:
+        self.routines = routines = routines or Threads()
         self.settings = settings
         self.operator = operator
         deployment = settings.deployment
-        self._events: queue.SimpleQueue[tuple[Any, ...]] = queue.SimpleQueue()
+        self._events = routines.mailbox()
         self._core: Core | None = None
         self._term: Term | None = None
-        self._stop = threading.Event()
+        self._stop = routines.flag()
         siblings = {
-            sibling.name: HttpClient(split_address(sibling.peer_addr), keep=16)
-            for sibling in settings.siblings
+            sibling.name: connect(split_address(sibling.peer_addr)) for sibling in settings.siblings
         }
-        self.leadership = Leadership(list(siblings), operator.pledge_s, time.monotonic())
-        self.store = Store(HttpClient(split_address(settings.external.state)), deployment.state.rps)
+        self.leadership = Leadership(list(siblings), operator.pledge_s, routines.now())
+        self.store = Store(
+            connect(split_address(settings.external.state)), deployment.state.rps, routines
+        )
         self.election = Election(
             settings.name,
             self.store,
@@ -64,51 +70,57 @@
             on_lost=lambda: self._post("lost"),
             # Marks this process's writes; a restarted one gets another.
             mark=f"{settings.name}.{secrets.token_hex(4)}",
+            routines=routines,
         )
         limits = deployment.machine_limits
         connections = max(8, int(min(limits.max_sockets * 0.5, limits.memory_mb * 3)))
-        self.desk = Desk(self.election, self.leadership, siblings, self._post, self._events.qsize)
-        self.public = Listener(
-            split_address(settings.listen), self.desk.public, connections, "listen"
-        )
-        self.cluster = Listener(
-            split_address(settings.cluster_listen), self.desk.cluster, connections // 2, "cluster"
+        self.desk = Desk(
+            self.election, self.leadership, siblings, self._post, self._events.qsize, routines
         )
-        self.committer = Committer(self.store, self._post, lambda: self._term)
-        self.workers = WorkerCalls(self._post, max(4, min(24, connections // 8)))
+        self.committer = Committer(self.store, self._post, lambda: self._term, routines)
+        self.workers = WorkerCalls(self._post, connect, routines, max(4, min(24, connections // 8)))
         self.cloud = CloudCalls(
             self._post,
-            HttpClient(split_address(settings.external.cloud)),
+            connect(split_address(settings.external.cloud)),
+            routines,
             deployment.cloud.rps,
-            list_gap_s=max(1.0, 4.0 / deployment.cloud.rps),
         )
-        self._thread = threading.Thread(target=self._run, name="core", daemon=True)
+        self._connections = connections
+        self._listeners: list[Listener] = []
 
     # -- life -----------------------------------------------------------------
 
+    def listen(self) -> None:
+        """Open both listeners; OSError if an address cannot be had."""
+        settings = self.settings
+        for address, app, limit, name in (
+            (settings.cluster_listen, self.desk.cluster, self._connections // 2, "cluster"),
+            (settings.listen, self.desk.public, self._connections, "listen"),
+        ):
+            self._listeners.append(Listener(split_address(address), app, limit, name))
+
     def start(self) -> None:
         # What was loaded at start lives for good: the collector may skip it.
         gc.collect()
         gc.freeze()
-        self._thread.start()
+        self.routines.spawn("core", self._run)
         self.committer.start()
         self.cloud.start()
-        self.cluster.start()
-        self.public.start()
+        for listener in self._listeners:
+            listener.start()
         self.election.start()
         log.info("%s serves on %s", self.settings.name, self.settings.listen)
 
     def stop(self) -> None:
         """Orderly end: take no more, give up leadership, end the routines."""
         self._stop.set()
-        self.public.stop()
+        for listener in self._listeners:
+            listener.stop()
         self.election.stop()
-        self.cluster.stop()
         self._post("lost")
         self.committer.stop()
         self.cloud.stop()
         self.workers.stop()
-        self._thread.join(2.0)
 
     def _post(self, *event: Any) -> None:
         self._events.put(event)
@@ -141,8 +153,8 @@
         core = self._core
         if core is None:
             return
-        now = time.monotonic()
-        core.step(now, time.time())
+        now = self.routines.now()
+        core.step(now, self.routines.wall())
         if self.leadership.may_write(now):
             txn = core.journal.next_txn(now)
             if txn is not None:
@@ -176,9 +188,9 @@
             if core is None:
                 event[2].put((503, users.error_body("no leader yet"), 1))
                 return
-            core.now = time.monotonic()
+            core.now = self.routines.now()
             if kind == "submit":
-                core.submit(event[1], event[2], time.time())
+                core.submit(event[1], event[2], self.routines.wall())
             elif kind == "status":
                 core.status(event[1], event[2])
             elif kind == "cancel":
@@ -189,7 +201,7 @@
         # The rest belongs to a term; what comes from an earlier one is void.
         if core is None or event[1] is not self._term:
             return
-        core.now = time.monotonic()
+        core.now = self.routines.now()
         if kind == "committed":
             core.committed(event[2])
         elif kind == "stalled":
@@ -213,7 +225,7 @@
     def _begin(self, term: Term) -> None:
         """Recover what is durable; only then does anyone get an answer."""
         deployment = self.settings.deployment
-        began = time.monotonic()
+        began = self.routines.now()
         while True:
             if self._stop.is_set() or not self.leadership.leading:
                 return
@@ -226,7 +238,7 @@
             except StoreError as error:
                 log.info("recovery: %s", error)
                 self._stop.wait(0.2)
-        now = time.monotonic()
+        now = self.routines.now()
         limits = deployment.state
         journal = Journal(
             leader_key=LEADER_KEY,
--- a/appleshift/transport/client.py
+++ b/appleshift/transport/client.py
@@ -1,4 +1,4 @@
-"""A blocking HTTP client with pooled connections, timeouts and rate budgets."""
+"""A blocking HTTP client with pooled connections and timeouts."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections import deque
+from typing import Protocol
 
 CONTENT_TYPE = "application/msgpack"
 
@@ -14,27 +15,18 @@
     """No usable answer. The request may have been executed, or may yet be."""
 
 
-class RateBudget:
-    """Keeps calls below a rate with bursts of one second's worth."""
+class Caller(Protocol):
+    """Requests to one address."""
 
-    def __init__(self, rate: float) -> None:
-        self._rate = rate
-        self._level = rate
-        self._at = time.monotonic()
-        self._lock = threading.Lock()
+    def request(
+        self, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
+    ) -> tuple[int, bytes]: ...
+
+    def request_full(
+        self, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
+    ) -> tuple[int, bytes, str | None]: ...
 
-    def wait(self) -> None:
-        """Take one call's worth, waiting for it if need be."""
-        while True:
-            with self._lock:
-                now = time.monotonic()
-                self._level = min(self._rate, self._level + (now - self._at) * self._rate)
-                self._at = now
-                if self._level >= 1.0:
-                    self._level -= 1.0
-                    return
-                missing = (1.0 - self._level) / self._rate
-            time.sleep(missing)
+    def close(self) -> None: ...
 
 
 class HttpClient:
--- /dev/null
+++ b/appleshift/transport/routines.py
@@ -0,0 +1,156 @@
+"""Routines, queues, events and clocks, behind one small interface.
+
+Every duty blocks only through what is defined here. On machines that is the
+operating system's threads; a test passes its own, which run the same duties
+one at a time on a virtual clock, so that any interleaving can be replayed.
+"""
+
+from __future__ import annotations
+
+import logging
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+log = logging.getLogger(__name__)
+
+STACK_BYTES = 256 * 1024
+
+
+class Mailbox(Protocol):
+    """A queue; ``get`` raises ``queue.Empty`` when the time runs out."""
+
+    def put(self, item: Any) -> None: ...
+
+    def get(self, block: bool = True, timeout: float | None = None) -> Any: ...
+
+    def get_nowait(self) -> Any: ...
+
+    def qsize(self) -> int: ...
+
+
+class Flag(Protocol):
+    """An event that routines can wait for."""
+
+    def set(self) -> None: ...
+
+    def clear(self) -> None: ...
+
+    def is_set(self) -> bool: ...
+
+    def wait(self, timeout: float | None = None) -> bool: ...
+
+
+class Routines(Protocol):
+    """What a node's routines run on."""
+
+    def now(self) -> float:
+        """The steady clock."""
+        ...
+
+    def wall(self) -> float:
+        """Time of day."""
+        ...
+
+    def sleep(self, seconds: float) -> None: ...
+
+    def mailbox(self) -> Mailbox: ...
+
+    def flag(self) -> Flag: ...
+
+    def spawn(self, name: str, target: Callable[..., None], *args: Any) -> None: ...
+
+
+class Threads:
+    """Routines as threads of the operating system."""
+
+    def __init__(self) -> None:
+        # Hundreds of connections have one each: the default stacks are too large.
+        threading.stack_size(STACK_BYTES)
+
+    now = staticmethod(time.monotonic)
+    wall = staticmethod(time.time)
+    sleep = staticmethod(time.sleep)
+
+    def mailbox(self) -> Mailbox:
+        return queue.SimpleQueue()
+
+    def flag(self) -> Flag:
+        return threading.Event()
+
+    def spawn(self, name: str, target: Callable[..., None], *args: Any) -> None:
+        threading.Thread(target=target, args=args, name=name, daemon=True).start()
+
+
+class Pool:
+    """A bounded set of routines that carry out calls; started when needed."""
+
+    def __init__(self, routines: Routines, name: str, size: int) -> None:
+        self._routines = routines
+        self._name = name
+        self._size = size
+        self._started = 0
+        self._idle = 0
+        self._lock = threading.Lock()
+        self._calls = routines.mailbox()
+        self._stopped = False
+
+    def submit(self, call: Callable[..., None], *args: Any) -> None:
+        if self._stopped:
+            return
+        self._calls.put((call, args))
+        with self._lock:
+            if self._idle >= self._calls.qsize() or self._started >= self._size:
+                return
+            self._started += 1
+            number = self._started
+        self._routines.spawn(f"{self._name}-{number}", self._run)
+
+    def stop(self) -> None:
+        """Drop what waits; calls under way end by their timeouts."""
+        self._stopped = True
+        for _ in range(self._size):
+            self._calls.put(None)
+
+    def _run(self) -> None:
+        while not self._stopped:
+            with self._lock:
+                self._idle += 1
+            entry = self._calls.get()
+            with self._lock:
+                self._idle -= 1
+            if entry is None:
+                return
+            call, args = entry
+            try:
+                call(*args)
+            except Exception:
+                # A routine of a pool serves others too: it goes on.
+                log.exception("%s failed", self._name)
+
+
+class RateBudget:
+    """Keeps calls below a rate with bursts of one second's worth."""
+
+    def __init__(self, routines: Routines, rate: float) -> None:
+        self._routines = routines
+        self._rate = rate
+        self._level = rate
+        self._at = routines.now()
+        self._lock = threading.Lock()
+
+    def wait(self) -> None:
+        """Take one call's worth, waiting for it if need be."""
+        while True:
+            with self._lock:
+                now = self._routines.now()
+                self._level = min(self._rate, self._level + (now - self._at) * self._rate)
+                self._at = now
+                # The level fills in floating point: it may miss 1 by a hair.
+                if self._level >= 1.0 - 1e-9:
+                    self._level -= 1.0
+                    return
+                missing = (1.0 - self._level) / self._rate
+            self._routines.sleep(missing)
--- /dev/null
+++ b/tests/rules.py
@@ -0,0 +1,131 @@
+"""PROTOCOL's rules, checked from what workers do and what users are told."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+
+@dataclass
+class Seen:
+    """What is true of one job, as its user and the workers know it."""
+
+    spec: dict[str, Any]
+    accepted: bool = False
+    tried_cancel: bool = False
+    told: str | None = None
+    cancelled_at: float | None = None
+    done: set[int] = field(default_factory=set)
+    places: dict[int, set[str]] = field(default_factory=dict)
+
+
+class Rules:
+    """Collects every breach; a run must end with none."""
+
+    def __init__(self, cancel_s: float, teams: dict[str, tuple[float, float]]) -> None:
+        self.cancel_s = cancel_s
+        self.teams = teams
+        self.jobs: dict[str, Seen] = {}
+        self.broken: list[str] = []
+        self.used: Counter[tuple[str, str]] = Counter()
+        self.machines: dict[str, dict[str, Any]] = {}
+        self.starts = 0
+
+    def _break(self, rule: str, now: float, what: str) -> None:
+        self.broken.append(f"{rule} at {now:.3f}: {what}")
+
+    # -- workers -------------------------------------------------------------
+
+    def on_machine(self, now: float, piece: str, machine: dict[str, Any]) -> None:
+        """A task has its image: from now on it is on that machine."""
+        job_id, number = piece.split("/")
+        job, task, name = self.jobs[job_id], int(number), machine["name"]
+        self.machines[name] = machine
+        self.starts += 1
+        others = job.places.setdefault(task, set())
+        if others - {name}:
+            self._break("ran_twice", now, f"{piece} on {name} and {sorted(others)}")
+        self._check_place(now, job, piece, task, machine)
+        if job.cancelled_at is not None and now > job.cancelled_at + self.cancel_s:
+            self._break("ran_cancelled", now, f"{piece} starts on {name}")
+        others.add(name)
+        spec = job.spec
+        team = spec["owner"]
+        self.used[team, "cpus"] += spec["vcpus"]
+        self.used[team, "gpus"] += spec["cards"]
+        for kind, most in zip(("cpus", "gpus"), self.teams[team], strict=True):
+            if most > 0 and self.used[team, kind] > most + 1e-6:
+                self._break("quota", now, f"{team} uses {self.used[team, kind]} {kind}")
+
+    def _check_place(
+        self, now: float, job: Seen, piece: str, task: int, machine: dict[str, Any]
+    ) -> None:
+        spec = job.spec
+        wrong = (
+            (spec["rig_kinds"] is not None and machine["type"] not in spec["rig_kinds"])
+            or (spec["yard"] is not None and machine["zone"] != spec["yard"])
+            or (machine["spot"] and not spec["loaners"])
+        )
+        zones = [
+            self.machines[name]["zone"]
+            for other, names in job.places.items()
+            if other != task
+            for name in names
+        ]
+        if spec["together"] and any(zone != machine["zone"] for zone in zones):
+            wrong = True
+        if spec["spread"] and zones.count(machine["zone"]) + 1 > (spec["pieces"] + 1) // 2:
+            wrong = True
+        if wrong:
+            self._break("wrong_place", now, f"{piece} on {machine['name']}")
+
+    def off_machine(self, now: float, piece: str, name: str, done: bool) -> None:
+        job_id, number = piece.split("/")
+        job, task = self.jobs[job_id], int(number)
+        if done:
+            job.done.add(task)
+            if job.spec["shape"] == "ensemble":
+                job.done.update(range(job.spec["pieces"]))
+        if name not in job.places.get(task, set()):
+            return
+        job.places[task].discard(name)
+        team = job.spec["owner"]
+        self.used[team, "cpus"] -= job.spec["vcpus"]
+        self.used[team, "gpus"] -= job.spec["cards"]
+
+    def step(self, now: float) -> None:
+        """Checked after each step: what must not last."""
+        for job_id, job in self.jobs.items():
+            if job.cancelled_at is None or now <= job.cancelled_at + self.cancel_s:
+                continue
+            for task, names in job.places.items():
+                if names:
+                    self._break("ran_cancelled", now, f"{job_id}/{task} on {sorted(names)}")
+                    job.cancelled_at = None
+                    break
+
+    # -- users ------------------------------------------------------------------
+
+    def answered(self, now: float, job_id: str, call: str, status: int, state: str | None) -> None:
+        """A user got an answer to ``submit``, ``poll`` or ``cancel``."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            if status == 200:
+                self._break("invented", now, job_id)
+            return
+        if job.accepted and (status == 404 or (call == "submit" and status in (400, 422))):
+            self._break("forgotten", now, f"{job_id}: {call} got {status}")
+        if status not in (200, 201):
+            return
+        job.accepted = True
+        if state == "done" and len(job.done) < job.spec["pieces"]:
+            self._break("not_done", now, f"{job_id}: {len(job.done)} of {job.spec['pieces']}")
+        if job.told in ("done", "aborted") and state != job.told:
+            self._break("went_back", now, f"{job_id} from {job.told} to {state}")
+        if state == "aborted" and not job.tried_cancel:
+            self._break("went_back", now, f"{job_id} cancelled by nobody")
+        if state == "aborted" and job.told != "aborted":
+            job.cancelled_at = now
+        if state in ("done", "aborted"):
+            job.told = state
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,477 @@
+"""A seeded world around three real nodes, on a virtual clock.
+
+Everything of a node but its listeners and sockets runs here: election,
+pledges, commit, recovery, core, front desk. Messages are delayed, lost on
+either way, or held back and delivered late; processes crash, services go out,
+machines die, hang, are cut off or taken back. The rules are checked after each
+step.
+"""
+
+from __future__ import annotations
+
+import queue
+from typing import Any
+
+import msgspec
+
+from appleshift.node import Node
+from appleshift.protocol.operator import OperatorSettings
+from appleshift.protocol.settings import Settings
+from appleshift.transport.client import ClientError
+from appleshift.transport.server import Request
+from tests.rules import Rules, Seen
+from tests.sim import Sim, SimRoutines
+from tests.standins import Cloud, Reply, Rig, StateService, Task, Worker
+
+KINDS = [
+    {"label": "small", "vcpus": 4.0, "cards": 0.0, "ram_gb": 16.0, "cache_gb": 20.0,
+     "pull_gb_per_s": 1.0, "price": 0.2, "low_price": 0.05, "ready_s": 6.0, "yards": ["a", "b"]},
+    {"label": "large", "vcpus": 16.0, "cards": 0.0, "ram_gb": 64.0, "cache_gb": 20.0,
+     "pull_gb_per_s": 1.0, "price": 0.9, "low_price": 0.2, "ready_s": 8.0, "yards": ["a", "b"]},
+    {"label": "cards", "vcpus": 16.0, "cards": 4.0, "ram_gb": 64.0, "cache_gb": 40.0,
+     "pull_gb_per_s": 1.0, "price": 9.0, "low_price": 2.5, "ready_s": 8.0, "yards": ["a", "b"]},
+]  # fmt: skip
+CAPACITY = {
+    ("small", "a", False): 6, ("small", "b", False): 6, ("small", "a", True): 3,
+    ("small", "b", True): 3, ("large", "a", False): 2, ("large", "b", False): 2,
+    ("large", "a", True): 1, ("cards", "a", False): 2, ("cards", "b", False): 2,
+    ("cards", "b", True): 1,
+}  # fmt: skip
+REPORT_S, LEASE_S, CANCEL_S = 1.0, 8.0, 24.0
+GANG_WAIT_S, GANG_PEER_S = 15.0, 3.0
+NODES = ["n0", "n1", "n2"]
+
+
+def settings_for(name: str) -> Settings:
+    number = {node: str(index) for index, node in enumerate(NODES)}
+    raw = {
+        "host_name": name,
+        "site": "a",
+        "listen": f"10.0.0.{number[name]}:8080",
+        "cluster_listen": f"10.0.0.{number[name]}:8081",
+        "siblings": [
+            {"host_name": other, "site": "a", "peer_addr": f"10.0.0.{number[other]}:8081"}
+            for other in NODES
+            if other != name
+        ],
+        "external": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+        "deployment": {
+            "zones": ["a", "b"],
+            "teams": [
+                {"name": "red", "gpus": 4.0, "gpus_max": 12.0, "cpus_max": 60.0},
+                {"name": "blue", "gpus": 4.0, "gpus_max": 8.0},
+            ],
+            "workers": {
+                "report_s": REPORT_S, "lease_s": LEASE_S, "cancel_s": CANCEL_S,
+                "gang_wait_s": GANG_WAIT_S, "gang_peer_s": GANG_PEER_S,
+            },
+            "state": {"rps": 150.0, "write_rps": 30.0, "value_kb": 8.0, "txn_ops": 8},
+            "cloud": {"rps": 8.0, "list_lag_s": 2.0},
+        },
+    }  # fmt: skip
+    return msgspec.convert(raw, Settings)
+
+
+class Client:
+    """A node's connection to something in the world."""
+
+    def __init__(self, world: World, node: SimRoutines, address: tuple[str, int]) -> None:
+        self.world, self.node = world, node
+        self.address = f"{address[0]}:{address[1]}"
+
+    def request(
+        self, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
+    ) -> tuple[int, bytes]:
+        box = self.node.mailbox()
+        self.world.send(self.node.name, self.address, method, path, body, box.put)
+        try:
+            status, answer = box.get(timeout=timeout)
+        except queue.Empty:
+            raise ClientError("no answer") from None
+        return status, answer
+
+    def request_full(
+        self, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
+    ) -> tuple[int, bytes, str | None]:
+        return *self.request(method, path, body, timeout), None
+
+    def close(self) -> None:
+        pass
+
+
+class Host:
+    """A controller machine and the process on it, if any."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name = world, name
+        self.settings = settings_for(name)
+        self.routines: SimRoutines | None = None
+        self.node: Node | None = None
+        self.start()
+
+    def start(self) -> None:
+        if self.node is not None:
+            return
+        routines = self.routines = SimRoutines(self.world.sim, self.name)
+        node = self.node = Node(
+            self.settings,
+            self.world.operator,
+            routines,
+            lambda address: Client(self.world, routines, address),
+        )
+        node.start()
+
+    def crash(self, down_s: float) -> None:
+        if self.routines is None:
+            return
+        self.check()
+        self.routines.kill()
+        self.routines = self.node = None
+        self.world.sim.after(down_s, self.start)
+
+    def check(self) -> None:
+        assert self.routines is None or not self.routines.failures, self.routines.failures
+
+
+class World:
+    def __init__(self, seed: int, operator: OperatorSettings | None = None) -> None:
+        self.sim = Sim(seed)
+        self.rng = self.sim.rng
+        self.operator = operator or OperatorSettings(snapshot_kb=16, silent_s=4.0)
+        self.rules = Rules(CANCEL_S, {"red": (60.0, 12.0), "blue": (0.0, 8.0)})
+        self.state = StateService(self.sim, 30.0, 8.0, 8)
+        self.cloud = Cloud(self.sim, KINDS, CAPACITY, 2.0, self._boot, self._end)
+        self.workers: dict[str, Worker] = {}
+        self.lossy = 0.004
+        self.late_s = 40.0
+        self.cuts: set[str] = set()
+        self.blocked: set[tuple[str, str]] = set()
+        self.faulty_jobs: set[str] = set()
+        self.times: dict[str, float] = {}
+        self.attached: dict[str, int] = {}
+        self.number = 0
+        self.hosts = {name: Host(self, name) for name in NODES}
+        self.by_address = {
+            address: (host, kind)
+            for host in self.hosts.values()
+            for address, kind in (
+                (host.settings.listen, "public"),
+                (host.settings.cluster_listen, "cluster"),
+            )
+        }
+
+    # -- network ---------------------------------------------------------------
+
+    def _delay(self) -> float:
+        return self.rng.uniform(0.001, 0.01) if self.rng.random() < 0.97 else 0.3
+
+    def _cut(self, source: str, target: str) -> bool:
+        host = self.by_address.get(target, (None,))[0]
+        ends = {source, target, host.name if host else target}
+        return bool(ends & self.cuts) or (source, host.name if host else target) in self.blocked
+
+    def send(
+        self, source: str, target: str, method: str, path: str, body: bytes | None, put: Any
+    ) -> None:
+        """One request; it may arrive late, its answer may be lost."""
+
+        def reply(status: int, answer: Any) -> None:
+            raw = answer if isinstance(answer, bytes) else msgspec.msgpack.encode(answer)
+            if self.rng.random() >= self.lossy and not self._cut(source, target):
+                self.sim.after(self._delay(), lambda: put((status, raw)))
+
+        delay = self._delay()
+        if self._cut(source, target) or self.rng.random() < self.lossy:
+            if self.rng.random() < 0.5:
+                return
+            # Held back, and delivered long after the sender gave up.
+            delay = self.rng.uniform(1.0, self.late_s)
+        self.sim.after(delay, lambda: self._deliver(source, target, method, path, body, reply))
+
+    def _deliver(
+        self, source: str, target: str, method: str, path: str, body: bytes | None, reply: Reply
+    ) -> None:
+        if target in self.by_address:
+            host, kind = self.by_address[target]
+            self.ask(host, kind, Request(method, path, body or b""), reply)
+            return
+        decoded = None if body is None else msgspec.msgpack.decode(body)
+        if target == "10.2.0.1:2379":
+            self.state.handle(source, method, path, decoded, reply)
+        elif target == "10.2.0.2:8443":
+            self.cloud.handle(source, method, path, decoded, reply)
+        elif target in self.workers:
+            worker = self.workers[target]
+
+            def serve() -> None:
+                worker.check_lease()
+                if path == "/do":
+                    reply(*worker.direct(decoded))
+                else:
+                    reply(200, worker.report())
+
+            worker._alive(serve)
+
+    def ask(self, host: Host, kind: str, request: Request, reply: Reply) -> None:
+        """A request reaches a node: a routine of that node serves it."""
+        node, routines = host.node, host.routines
+        if node is None or routines is None:
+            return
+        serve = node.desk.public if kind == "public" else node.desk.cluster
+
+        def routine() -> None:
+            response = serve(request)
+            assert len(response.body) <= 64 * 1024
+            reply(response.status, response.body)
+
+        routines.spawn("connection", routine)
+
+    # -- machines ------------------------------------------------------------------
+
+    def _boot(self, rig: Rig) -> None:
+        worker = self.workers[rig.addr] = Worker(self.sim, rig, LEASE_S, self)
+        self.attached[rig.addr] = self.rng.randrange(len(NODES))
+        self._beat(worker)
+
+    def _end(self, rig: Rig) -> None:
+        worker = self.workers.pop(rig.addr, None)
+        if worker is not None:
+            worker.dead = True
+            worker.end_all()
+
+    def _beat(self, worker: Worker) -> None:
+        """The worker's reporting routine: one report in flight at a time."""
+        if worker.dead:
+            return
+        if worker.hung:
+            worker.deferred.append(lambda: self._beat(worker))
+            return
+        worker.check_lease()
+        number = self.attached[worker.rig.addr]
+        sent, session = self.sim.now, worker.session
+        state = {"open": True}
+
+        def answered(entry: tuple[int, bytes]) -> None:
+            if not state["open"]:
+                return
+            if worker.hung:
+                worker.deferred.append(lambda: answered(entry))
+                return
+            state["open"] = False
+            status, body = entry
+            worker.check_lease()
+            if status == 200:
+                worker.answered(sent, session, msgspec.msgpack.decode(body))
+                # Sooner when something changed, as real workers report.
+                self.sim.after(self.rng.uniform(0.5, 1.25) * REPORT_S, lambda: self._beat(worker))
+                return
+            leader = msgspec.msgpack.decode(body).get("foreman") if status == 421 else None
+            if leader in NODES and NODES.index(leader) != number:
+                self.attached[worker.rig.addr] = NODES.index(leader)
+                self.sim.after(self.rng.uniform(0.0, 0.5), lambda: self._beat(worker))
+            else:
+                next_node()
+
+        def next_node() -> None:
+            self.attached[worker.rig.addr] = (number + 1) % len(NODES)
+            self.sim.after(1.0, lambda: self._beat(worker))
+
+        def give_up() -> None:
+            if state["open"]:
+                state["open"] = False
+                next_node()
+
+        self.sim.after(4.0, give_up)
+        body = msgspec.msgpack.encode(worker.report())
+        address = settings_for(NODES[number]).listen
+        self.send(worker.rig.addr, address, "POST", "/agent/beat", body, answered)
+
+    def hang(self, worker: Worker, seconds: float) -> None:
+        worker.hung = True
+
+        def resume() -> None:
+            worker.hung = False
+            worker.check_lease()
+            deferred, worker.deferred = worker.deferred, []
+            for call in deferred:
+                worker._alive(call)
+
+        self.sim.after(seconds, resume)
+
+    def die(self, worker: Worker) -> None:
+        worker.dead = True
+        worker.end_all()
+        self.workers.pop(worker.rig.addr, None)
+        self.sim.after(30.0, lambda: setattr(worker.rig, "status", "failed"))
+
+    def take_back(self, rig: Rig, notice_s: float | None) -> None:
+        worker = self.workers.get(rig.addr)
+        if notice_s is None or worker is None:
+            self.cloud.remove(rig.name)
+        else:
+            worker.notice_at = self.sim.now + notice_s
+            self.sim.after(notice_s, lambda: self.cloud.remove(rig.name))
+
+    # -- what workers share -------------------------------------------------------------
+
+    def spec(self, job_id: str) -> dict[str, Any] | None:
+        job = self.rules.jobs.get(job_id)
+        return None if job is None else job.spec
+
+    def run_time(self, piece: str) -> float:
+        return self.rng.uniform(0.5, 1.5) * self.times[piece.split("/")[0]]
+
+    def finished(self, piece: str) -> bool:
+        job_id, task = piece.split("/")
+        return int(task) in self.rules.jobs[job_id].done
+
+    def on_machine(self, piece: str, worker: Worker) -> None:
+        self.rules.on_machine(self.sim.now, piece, worker.info())
+
+    def off_machine(self, piece: str, worker: Worker, done: bool) -> None:
+        self.rules.off_machine(self.sim.now, piece, worker.rig.name, done)
+
+    def gang_changed(self, task: Task, worker: Worker) -> None:
+        job_id = task.piece.split("/")[0]
+        members = [
+            (other, candidate)
+            for other in self.workers.values()
+            for candidate in other.tasks.values()
+            if candidate.piece.startswith(job_id + "/")
+            and candidate.attempt == task.attempt
+            and candidate.status != "exited"
+        ]
+        count = task.spec["pieces"]
+        if task.status == "waiting":
+            self.sim.after(
+                GANG_WAIT_S,
+                lambda: worker._alive(
+                    lambda: worker.exit_gang(task, "alone") if task.status == "waiting" else None
+                ),
+            )
+            if len(members) == count and all(member.status == "waiting" for _, member in members):
+                for other, member in members:
+                    other.run(member)
+                self.sim.after(self.times[job_id], lambda: self._gang_done(members))
+        elif task.status == "exited" and task.cause != "done":
+            for other, member in members:
+                if member.status == "running":
+                    self.sim.after(
+                        GANG_PEER_S,
+                        lambda other=other, member=member: other._alive(
+                            lambda: other.exit_gang(member, "peers")
+                        ),
+                    )
+
+    def _gang_done(self, members: list[tuple[Worker, Task]]) -> None:
+        whole = all(
+            member.status == "running" and not (other.dead or other.hung)
+            for other, member in members
+        )
+        if whole:
+            for other, member in members:
+                other.complete(member)
+
+    # -- users -----------------------------------------------------------------------------
+
+    def submit(self, **changes: Any) -> str:
+        """Upload a random job and start a user who submits and polls it."""
+        rng = self.rng
+        self.number += 1
+        job_id = f"job-{self.number:06d}"
+        shape = rng.choices(["array", "daemon", "ensemble"], [6, 3, 2])[0]
+        gang = shape == "ensemble"
+        spec = {
+            "name_id": job_id, "workload": shape, "owner": rng.choice(["red", "blue"]),
+            "shape": shape, "urgency": rng.choice(["critical", "high", "standard", "low"]),
+            "pieces": rng.randint(1, 3) if shape != "array" else rng.randint(1, 12),
+            "vcpus": float(rng.choice([1, 2, 4])), "cards": 0.0, "ram_gb": 4.0,
+            "bundle": f"img-{rng.randint(1, 5)}", "image_gb": rng.uniform(0.1, 2.0),
+            "rig_kinds": None, "yard": rng.choice([None, None, None, "a"]),
+            "together": rng.random() < 0.3, "spread": False, "loaners": rng.random() < 0.6,
+            "expected_s": 8.0, "snapshot_every_s": 5.0 if gang else 0.0,
+            "snapshot_cost_s": 1.0 if gang else 0.0, "due_s": rng.choice([None, 30.0]),
+        }  # fmt: skip
+        if shape == "daemon" and spec["yard"] is None and not spec["together"]:
+            spec["spread"] = True
+        if gang and rng.random() < 0.6:
+            spec.update(cards=2.0, vcpus=6.0, rig_kinds=["cards"], pieces=rng.randint(1, 2))
+        spec.update(changes)
+        self.rules.jobs[job_id] = Seen(spec)
+        self.times[job_id] = rng.uniform(1.0, 15.0)
+        self.sim.after(0.0, lambda: self._user(job_id, "submit"))
+        if shape == "daemon" or rng.random() < 0.25:
+            self.sim.after(rng.uniform(0.0, 60.0), lambda: self._user(job_id, "cancel"))
+        return job_id
+
+    def _user(self, job_id: str, call: str) -> None:
+        """One request to some node, and what the user does next."""
+        job = self.rules.jobs[job_id]
+        if call == "cancel" and not job.accepted:
+            return
+        path, method = f"/submissions/{job_id}", "GET"
+        body = None
+        if call == "submit":
+            path, method, body = "/submissions", "POST", msgspec.msgpack.encode(job.spec)
+        elif call == "cancel":
+            path, method = path + "/abort", "POST"
+            job.tried_cancel = True
+        state = {"open": True}
+
+        def answered(entry: tuple[int, bytes]) -> None:
+            if not state["open"]:
+                return
+            state["open"] = False
+            status, raw = entry
+            told = msgspec.msgpack.decode(raw).get("status")
+            self.rules.answered(self.sim.now, job_id, call, status, told)
+            self._next(job_id, call, status)
+
+        def give_up() -> None:
+            if state["open"]:
+                state["open"] = False
+                self._next(job_id, call, 0)
+
+        self.sim.after(5.0 if call != "poll" else 2.0, give_up)
+        host = self.hosts[self.rng.choice(NODES)]
+        self.send("user", host.settings.listen, method, path, body, answered)
+
+    def _next(self, job_id: str, call: str, status: int) -> None:
+        job = self.rules.jobs[job_id]
+        if call == "submit":
+            if job.accepted:
+                self.sim.after(self.rng.uniform(0.5, 4.0), lambda: self._user(job_id, "poll"))
+                if self.rng.random() < 0.2:
+                    delay = self.rng.uniform(1.0, 60.0)
+                    self.sim.after(delay, lambda: self._user(job_id, "submit"))
+            elif status not in (400, 422):
+                self.sim.after(self.rng.uniform(1.0, 2.0), lambda: self._user(job_id, "submit"))
+        elif call == "poll":
+            delay = 4.0 if job.told not in ("done", "aborted") else self.rng.uniform(10.0, 30.0)
+            self.sim.after(delay, lambda: self._user(job_id, "poll"))
+        elif job.told not in ("done", "aborted"):
+            self.sim.after(self.rng.uniform(1.0, 2.0), lambda: self._user(job_id, "cancel"))
+
+    # -- a run -----------------------------------------------------------------------------
+
+    def run(self, until: float) -> None:
+        """Go on to a time, with the rules checked after each step."""
+        steps = {"last": -1.0}
+
+        def each() -> None:
+            if self.sim.now - steps["last"] > 0.05:
+                steps["last"] = self.sim.now
+                self.rules.step(self.sim.now)
+            assert not self.rules.broken, self.rules.broken
+
+        self.sim.run(until, each)
+        for host in self.hosts.values():
+            host.check()
+
+    def leaders(self) -> list[Host]:
+        return [host for host in self.hosts.values() if host.node and host.node.leadership.leading]
+
+    def close(self) -> None:
+        for host in self.hosts.values():
+            if host.routines is not None:
+                host.routines.kill()
