--- a/appleshift/bookkeeping/journal.py
+++ b/appleshift/bookkeeping/journal.py
@@ -96,6 +96,8 @@
     record: Record | None
     size: int
     then: Callable[[], None] | None
+    barrier: bool = False
+    """Nothing appended later may share its transaction."""
 
 
 @dataclass(slots=True)
@@ -189,12 +191,16 @@
         flying: list[_Pending] = []
         changes: list[dict[str, Any]] = []
         total = 0
-        while self._queue and len(changes) < most and total + self.value_bytes <= TXN_BYTES:
+        open_ended = True
+        while open_ended and self._queue and len(changes) < most:
+            if total + self.value_bytes > TXN_BYTES:
+                break
             records: list[Record] = []
             size = 200
-            while self._queue and size + self._queue[0].size <= self.value_bytes:
+            while open_ended and self._queue and size + self._queue[0].size <= self.value_bytes:
                 pending = self._queue.popleft()
                 flying.append(pending)
+                open_ended = not pending.barrier
                 if pending.record is not None:
                     records.append(pending.record)
                     size += pending.size
@@ -247,11 +253,19 @@
         """Write the state as of now. The log goes on meanwhile.
 
         ``records`` describe the state with every record appended so far, so the
-        snapshot must come into force after those are durable: a marker in the
-        queue sees to it.
+        snapshot must come into force after those are durable, and the log that
+        follows it must start with the first record appended after now: one that
+        shared a key with older ones would be in neither.
         """
         self.snapshotting = True
-        self.append(None, lambda: self._write_snapshot(records, finals))
+
+        def write() -> None:
+            self._write_snapshot(records, finals)
+
+        if self._queue or self._flying is not None:
+            self._queue.append(_Pending(None, 0, write, barrier=True))
+        else:
+            write()
 
     def _write_snapshot(self, records: list[Record], finals: list[list[Any]]) -> None:
         old = self.meta
