--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -436,6 +436,9 @@
             self.session_over(machine)
             machine.session = report.session
             machine.seq = -1
+            # The session's own lease runs from its begin, which is earlier than
+            # now. The last session's end must not be taken for this one's.
+            machine.lease_until = max(machine.lease_until, self.now + self.worker_lease_s)
         if report.seq <= machine.seq:
             return
         machine.seq = report.seq
