--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
 from appleshift.bookkeeping import records
 from appleshift.bookkeeping.tables import BOOTING, OPEN, UP, Job, Machine
 from appleshift.coordination.effects import Inspect, Rent
-from appleshift.coordination.placement import Shortage, stop_grace
-from appleshift.coordination.scaling import Plan, SpotType, find_plan
+from appleshift.coordination.placement import Shortage, how_many, stop_grace, zone_room
+from appleshift.coordination.scaling import Market, Plan, find_plan, machines_for
 from appleshift.protocol import cloud
 from appleshift.protocol.cloud import ListedMachine, MachineType
 from appleshift.protocol.workers import Report
@@ -44,10 +45,14 @@
         self.refused: dict[tuple[int, int, bool], tuple[float, float]] = {}
         self.next_review = core.now
         self.next_regroup = core.now + self.operator.regroup_s
-        self.groups: set[int] = set()
-        if isinstance(groups, list):
-            known = (self.tables.type_names.get(str(name)) for name in groups)
-            self.groups = {kind for kind in known if kind >= 0}
+        # The chosen spot groups, each of one market: (type, zone).
+        self.groups: set[tuple[int, int]] = set()
+        for name in groups if isinstance(groups, list) else []:
+            kind, _, zone = str(name).partition("@")
+            market = (self.tables.type_names.get(kind), self.tables.zones.get(zone))
+            if min(market) >= 0:
+                self.groups.add(market)
+        self.evicted: dict[tuple[int, int], float] = {}
         self._written_groups: list[str] = self.group_table()
         self._groups_at = 0.0
         self.arrivals: deque[tuple[float, float, float]] = deque()
@@ -94,9 +99,13 @@
 
     def evict(self, machine: Machine) -> None:
         """One machine taken back evicts its group; the others become orphans."""
-        if machine.spot and machine.type in self.groups:
-            self.groups.discard(machine.type)
-            log.info("group %s evicted", self.tables.type_names.names[machine.type])
+        market = (machine.type, machine.zone)
+        if not machine.spot:
+            return
+        self.evicted[market] = self.core.now + self.operator.evict_pause_s
+        if market in self.groups:
+            self.groups.discard(market)
+            log.info("group %s evicted", self._market_name(market))
 
     def _save_work(self, machine: Machine) -> None:
         """Stop what can save in time, as late as is safe."""
@@ -239,7 +248,7 @@
                 machine.rented_at = self.core.now
         self.next_review = min(self.next_review, self.core.now)
 
-    def _available(self, kind: int, zone: int, spot: bool) -> bool:
+    def available(self, kind: int, zone: int, spot: bool) -> bool:
         return self.refused.get((kind, zone, spot), (0.0, 0.0))[0] <= self.core.now
 
     def tick(self, now: float) -> None:
@@ -264,8 +273,11 @@
             self._review(now)
             self._write_groups(now)
 
+    def _market_name(self, market: tuple[int, int]) -> str:
+        return f"{self.tables.type_names.names[market[0]]}@{self.tables.zones.names[market[1]]}"
+
     def group_table(self) -> list[str]:
-        return sorted(self.tables.type_names.names[kind] for kind in self.groups)
+        return sorted(self._market_name(market) for market in self.groups)
 
     def _write_groups(self, now: float) -> None:
         table = self.group_table()
@@ -372,15 +384,12 @@
         fleet, tables = self.fleet, self.fleet.tables
         steady_kind = tables.types[self.steady]
         required, fixed = self.demand(now)
-        options = []
-        for kind in self.kinds:
-            spec = tables.types[kind]
-            zones = [tables.zones.get(zone) for zone in spec.zones]
-            if kind in fleet.groups or any(fleet._available(kind, z, True) for z in zones):
-                options.append(SpotType(kind, self.units(spec), spec.spot_price))
-        floor = int(-(-max(fixed, required * fleet.operator.floor_share) // 1))
-        current = [option for option in options if option.index in fleet.groups]
-        others = [option for option in options if option.index not in fleet.groups]
+        floor = machines_for(max(fixed, required * fleet.operator.floor_share), 1.0)
+        current: list[Market] = []
+        others: list[Market] = []
+        for market in self.markets(now):
+            chosen = (market.kind, market.zone) in fleet.groups
+            (current if chosen else others).append(market)
         plan = find_plan(
             required,
             floor,
@@ -390,17 +399,43 @@
             fleet.operator.spare_groups,
             fleet.operator.max_groups,
         )
-        fleet.groups -= set(self.kinds)
-        fleet.groups |= {kind for kind, machines in plan.groups if machines}
+        fleet.groups = {market for market in fleet.groups if market[0] not in self.kinds}
+        fleet.groups |= {(market.kind, market.zone) for market, machines in plan.groups if machines}
         log.debug("pool gpus=%s R=%.1f fixed=%.1f plan=%s", self.gpus, required, fixed, plan)
         self._grow(plan, required, fixed, now)
+        self._cover_shortages(now)
         self._shrink(plan, required, fixed, now)
 
-    def _asked(self, kind: int | None, spot: bool) -> float:
+    def markets(self, now: float) -> list[Market]:
+        """Where spot machines may be rented, capped where there are no more."""
+        fleet, tables = self.fleet, self.fleet.tables
+        found = []
+        for kind in self.kinds:
+            spec = tables.types[kind]
+            for name in spec.zones:
+                zone = tables.zones.get(name)
+                if fleet.evicted.get((kind, zone), 0.0) > now:
+                    continue
+                have = self._held(kind, zone)
+                most = math.inf if fleet.available(kind, zone, True) else have
+                if most > 0:
+                    found.append(Market(kind, zone, self.units(spec), spec.spot_price, most))
+        return found
+
+    def _held(self, kind: int, zone: int) -> int:
+        """Spot machines of a market, those under way included."""
+        have = sum(1 for m in self.machines if m.spot and (m.type, m.zone) == (kind, zone))
+        return have + sum(
+            count
+            for asked, asked_zone, spot, count in self.fleet.asked.values()
+            if spot and (asked, asked_zone) == (kind, zone)
+        )
+
+    def _asked(self, spot: bool) -> float:
         return sum(
-            count * (1 if kind is not None else self.units(self.fleet.tables.types[asked]))
-            for asked, _, asked_spot, count in self.fleet.asked.values()
-            if asked in self.kinds and asked_spot == spot and kind in (None, asked)
+            count * self.units(self.fleet.tables.types[kind])
+            for kind, _, asked_spot, count in self.fleet.asked.values()
+            if kind in self.kinds and asked_spot == spot
         )
 
     def _capacity(self, spot: bool) -> float:
@@ -412,14 +447,23 @@
             late = machine.status == BOOTING and now - machine.rented_at > kind.boot_s * 1.6
             if machine.spot == spot and not late:
                 total += self.units(kind)
-        return total + self._asked(None, spot)
+        return total + self._asked(spot)
 
     def _grow(self, plan: Plan, required: float, fixed: float, now: float) -> None:
-        tables = self.fleet.tables
-        for kind, wanted in plan.groups:
-            have = sum(1 for m in self.machines if m.spot and m.type == kind)
-            missing = wanted - have - int(self._asked(kind, True))
-            self._rent_spread(kind, True, missing)
+        fleet, tables = self.fleet, self.fleet.tables
+        # Orphans fill what groups lack before anything is rented.
+        orphans = sum(
+            self.units(tables.types[m.type])
+            for m in self.machines
+            if m.spot and (m.type, m.zone) not in fleet.groups
+        )
+        for market, wanted in plan.groups:
+            missing = wanted - self._held(market.kind, market.zone)
+            filled = min(missing, int(orphans / market.units)) if missing > 0 else 0
+            orphans -= filled * market.units
+            missing -= filled
+            if missing > 0 and fleet.available(market.kind, market.zone, True):
+                fleet.rent(market.kind, market.zone, True, missing)
         steady_have = self._capacity(False)
         needed = max(fixed, required - self._capacity(True))
         order = sorted(
@@ -443,6 +487,74 @@
                 if missing_units <= 1e-6:
                     return
 
+    def _cover_shortages(self, now: float) -> None:
+        """Rent for work that the capacity there is can never take.
+
+        R says how much is needed, not where: a job bound to a zone or a type,
+        or replicas that must be spread, may find no room although R is met.
+        Other work may wait for what is running to end; replicas cannot, for
+        nothing that runs beside them need ever end.
+        """
+        fleet, tables = self.fleet, self.fleet.tables
+        coming = [
+            (tables.types[m.type], m.type, m.zone, m.spot)
+            for m in self.machines
+            if m.status == BOOTING and now - m.rented_at <= tables.types[m.type].boot_s * 1.6
+        ]
+        for kind, zone, spot, count in fleet.asked.values():
+            coming += [(tables.types[kind], kind, zone, spot)] * count
+        for shortage in fleet.shortages:
+            job, spec = shortage.job, shortage.job.spec
+            if job.status != OPEN or (spec.gpus > 0) != self.gpus:
+                continue
+            rooms = zone_room(tables, job)
+            type_ok = tables.types_for(job)
+            zones = [
+                zone
+                for zone in range(len(tables.zones))
+                if job.zone in (-1, zone) and (rooms is None or rooms[zone] > 0)
+            ]
+            if not job.service and any(
+                m.status == UP and type_ok[m.type] and m.zone in zones and spec.spot >= m.spot
+                for m in self.machines
+            ):
+                continue
+            missing = shortage.tasks
+            for entry in list(coming):
+                offer, index, zone, spot = entry
+                if missing > 0 and type_ok[index] and zone in zones and spec.spot >= spot:
+                    coming.remove(entry)
+                    missing -= how_many(offer.cpus, offer.gpus, offer.memory_gb, spec)
+            if missing > 0:
+                self._rent_for(job, missing, zones)
+
+    def _rent_for(self, job: Job, tasks: int, zones: list[int]) -> None:
+        """Rent the cheapest machines on which these tasks may run."""
+        fleet, tables = self.fleet, self.fleet.tables
+        type_ok = tables.types_for(job)
+        spec = job.spec
+
+        def price(kind: int, spot: bool) -> float:
+            offer = tables.types[kind]
+            fit = max(1, how_many(offer.cpus, offer.gpus, offer.memory_gb, spec))
+            each = offer.spot_price if spot else offer.price
+            return each * -(-tasks // fit)
+
+        offers = sorted(
+            (price(kind, spot), kind, zone, spot)
+            for kind in self.kinds
+            if type_ok[kind]
+            for spot in ((False, True) if spec.spot else (False,))
+            for zone in zones
+            if tables.zones.names[zone] in tables.types[kind].zones
+            and fleet.available(kind, zone, spot)
+        )
+        if offers:
+            _, kind, zone, spot = offers[0]
+            offer = tables.types[kind]
+            fit = max(1, how_many(offer.cpus, offer.gpus, offer.memory_gb, spec))
+            fleet.rent(kind, zone, spot, -(-tasks // fit))
+
     def _rent_spread(self, kind: int, spot: bool, count: int) -> int:
         """Rent in the zones that have least, as far as none refuses."""
         fleet, tables = self.fleet, self.fleet.tables
@@ -451,7 +563,7 @@
             zone
             for zone in zones
             if zone >= 0
-            and fleet._available(kind, zone, spot)
+            and fleet.available(kind, zone, spot)
             and not any(entry[:3] == (kind, zone, spot) for entry in fleet.asked.values())
         ]
         if count <= 0 or not open_zones:
@@ -475,7 +587,7 @@
         fleet, tables = self.fleet, self.fleet.tables
         if fleet.asked or any(s.job.spec.gpus > 0 for s in fleet.shortages if self.gpus):
             return
-        wanted = dict(plan.groups)
+        wanted = {(market.kind, market.zone): count for market, count in plan.groups}
         steady_spare = self._capacity(False) - max(fixed, required - self._capacity(True))
         total_spare = self._capacity(False) + self._capacity(True) - required
         idle = [m for m in self.machines if m.status == UP and m.idle_since and m.empty()]
@@ -487,9 +599,9 @@
             if now - machine.idle_since < limit or len(leaving) >= cloud.MAX_DELETE:
                 continue
             if machine.spot:
-                have = sum(1 for m in self.machines if m.spot and m.type == machine.type)
-                gone = sum(1 for m in leaving if m.spot and m.type == machine.type)
-                if have - gone <= wanted.get(machine.type, 0) or total_spare < units:
+                market = (machine.type, machine.zone)
+                gone = sum(1 for m in leaving if m.spot and (m.type, m.zone) == market)
+                if self._held(*market) - gone <= wanted.get(market, 0) or total_spare < units:
                     continue
             elif steady_spare < units:
                 continue
--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -18,6 +18,7 @@
     Run,
     Tables,
 )
+from appleshift.protocol.users import Submission
 
 
 @dataclass(slots=True)
@@ -114,15 +115,6 @@
         found.sort(key=lambda entry: entry[0])
         return [machine for _, machine in found]
 
-    def zone_room(self, job: Job) -> dict[int, int] | None:
-        """How many more tasks each zone may take; None: no limit."""
-        spec = job.spec
-        if not spec.spread:
-            return None
-        most = (spec.tasks + 1) // 2
-        taken = Counter(run.machine.zone for run in job.runs.values())
-        return {zone: most - taken[zone] for zone in range(len(self.tables.zones))}
-
     # -- a pass ---------------------------------------------------------------
 
     def run(self, preempt: bool) -> Pass:
@@ -144,7 +136,7 @@
         spec = job.spec
         team = self.tables.teams[job.team]
         waiting = sorted(job.pending)
-        rooms = self.zone_room(job)
+        rooms = zone_room(self.tables, job)
         zone = next((run.machine.zone for run in job.runs.values()), -1) if spec.together else -1
         attempt = job.attempt + 1
         machines = self.candidates(job)
@@ -205,7 +197,7 @@
         machines = self.candidates(job)
         zones = list(dict.fromkeys(machine.zone for machine in machines))
         for zone in zones if spec.together else [None]:
-            rooms = self.zone_room(job)
+            rooms = zone_room(self.tables, job)
             plan: list[tuple[Machine, int]] = []
             left = len(tasks)
             for machine in machines:
@@ -231,16 +223,7 @@
         return len(tasks)
 
     def _how_many(self, machine: Machine, job: Job) -> int:
-        spec = job.spec
-        most = spec.tasks
-        for free, need in (
-            (machine.free_cpus, spec.cpus),
-            (machine.free_gpus, spec.gpus),
-            (machine.free_memory, spec.memory_gb),
-        ):
-            if need > EPSILON:
-                most = min(most, int((free + EPSILON) / need))
-        return most
+        return how_many(machine.free_cpus, machine.free_gpus, machine.free_memory, job.spec)
 
     # -- preemption -------------------------------------------------------------
 
@@ -261,7 +244,7 @@
     def _preempt(self, job: Job, missing: int) -> None:
         """Stop just enough less urgent work to make room for what is missing."""
         spec = job.spec
-        rooms = self.zone_room(job)
+        rooms = zone_room(self.tables, job)
         for machine in self.candidates(job):
             if missing <= 0:
                 return
@@ -307,6 +290,25 @@
                 memory += run.job.spec.memory_gb
 
 
+def how_many(cpus: float, gpus: float, memory_gb: float, spec: Submission) -> int:
+    """How many of a job's tasks fit into some room."""
+    most = spec.tasks
+    for free, need in ((cpus, spec.cpus), (gpus, spec.gpus), (memory_gb, spec.memory_gb)):
+        if need > EPSILON:
+            most = min(most, int((free + EPSILON) / need))
+    return most
+
+
+def zone_room(tables: Tables, job: Job) -> dict[int, int] | None:
+    """How many more tasks each zone may take; None: no limit."""
+    spec = job.spec
+    if not spec.spread:
+        return None
+    most = (spec.tasks + 1) // 2
+    taken = Counter(run.machine.zone for run in job.runs.values())
+    return {zone: most - taken[zone] for zone in range(len(tables.zones))}
+
+
 def stop_grace(run: Run) -> float:
     """Time that a task needs to save when it is stopped."""
     spec = run.job.spec
--- a/appleshift/coordination/scaling.py
+++ b/appleshift/coordination/scaling.py
@@ -1,8 +1,11 @@
 """The paper's planner: steady machines above a floor, the rest as spot groups.
 
 Capacity is measured in steady machines. A plan has ``n`` steady machines and
-``s`` spot groups of a single type each; every group alone holds the quota
-Q = (R - n) / (s - f), so that any f groups may vanish and R still stands.
+``s`` spot groups, each of one market (a type in a zone); every group alone
+holds the quota Q = (R - n) / (s - f), so that any f groups may vanish and R
+still stands. A market that has refused machines is capped at what it has given.
+What the groups then lack of R itself is made up by steady machines; spare
+capacity is only ever bought at spot prices.
 """
 
 from __future__ import annotations
@@ -12,19 +15,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SpotType:
-    """A type that may form a spot group; ``units``: one machine in steady machines."""
+class Market:
+    """A type in a zone; ``units``: one machine in steady machines."""
 
-    index: int
+    kind: int
+    zone: int
     units: float
     price: float
+    most: float = math.inf
+    """Machines that it is known to give."""
 
 
 @dataclass(frozen=True, slots=True)
 class Plan:
     steady: int
-    groups: tuple[tuple[int, int], ...]
-    """(type, machines) of each spot group."""
+    groups: tuple[tuple[Market, int], ...]
+    """Each group's market and its machines."""
     cost: float
 
 
@@ -39,9 +45,9 @@
     required: float, steady: int, steady_price: float, groups: int, machines: int
 ) -> float:
     """tb: the price at which a group costs no more than steady machines would."""
-    all_steady = machines_for(required, 1.0) * steady_price
     if machines < 1 or groups < 1:
         return math.inf
+    all_steady = machines_for(required, 1.0) * steady_price
     return (all_steady - steady * steady_price) / (groups * machines)
 
 
@@ -49,8 +55,8 @@
     required: float,
     steady: int,
     steady_price: float,
-    current: list[SpotType],
-    others: list[SpotType],
+    current: list[Market],
+    others: list[Market],
     spare: int,
     max_groups: int,
 ) -> Plan | None:
@@ -61,21 +67,26 @@
     for count in range(fewest, most + 1):
         quota = max(0.0, required - steady) / (count - spare)
         eligible = []
-        for kind in others:
-            machines = machines_for(quota, kind.units)
-            if kind.price <= highest_price(required, steady, steady_price, count, machines):
-                eligible.append((machines * kind.price, kind.index, kind))
+        for market in others:
+            machines = machines_for(quota, market.units)
+            if market.price <= highest_price(required, steady, steady_price, count, machines):
+                cost = machines * market.price
+                eligible.append((cost, market.kind, market.zone, market))
         wanted = count - len(current)
         if len(eligible) < wanted:
             continue
-        eligible.sort(key=lambda entry: entry[:2])
-        chosen = [*current, *(kind for _, _, kind in eligible[:wanted])]
-        groups = tuple((kind.index, machines_for(quota, kind.units)) for kind in chosen)
-        cost = steady * steady_price + sum(
-            machines * kind.price for kind, (_, machines) in zip(chosen, groups, strict=True)
-        )
+        eligible.sort(key=lambda entry: entry[:3])
+        groups = []
+        missing, cost = required - steady, steady * steady_price
+        for market in [*current, *(entry[3] for entry in eligible[:wanted])]:
+            machines = int(min(machines_for(quota, market.units), market.most))
+            groups.append((market, machines))
+            missing -= machines * market.units
+            cost += machines * market.price
+        extra = machines_for(missing, 1.0)
+        cost += extra * steady_price
         if best is None or cost < best.cost - 1e-9:
-            best = Plan(steady, groups, cost)
+            best = Plan(steady + extra, tuple(groups), cost)
     return best
 
 
@@ -83,8 +94,8 @@
     required: float,
     floor: int,
     steady_price: float,
-    current: list[SpotType],
-    others: list[SpotType],
+    current: list[Market],
+    others: list[Market],
     spare: int,
     max_groups: int,
 ) -> Plan:
@@ -92,13 +103,10 @@
 
     With no eligible mix it is steady machines only.
     """
-    every = machines_for(required, 1.0)
-    best = Plan(max(every, floor), (), max(every, floor) * steady_price)
-    found = False
-    for steady in range(min(floor, every), every + 1):
+    every = max(machines_for(required, 1.0), floor)
+    best: Plan | None = None
+    for steady in range(floor, every + 1):
         plan = plan_with(required, steady, steady_price, current, others, spare, max_groups)
-        if plan is not None and (not found or plan.cost < best.cost - 1e-9):
-            best, found = plan, True
-    if best.steady < floor:
-        best = Plan(floor, best.groups, best.cost)
-    return best
+        if plan is not None and (best is None or plan.cost < best.cost - 1e-9):
+            best = plan
+    return best or Plan(every, (), every * steady_price)
--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -21,10 +21,11 @@
 
     # The paper's plan.
     spare_groups: int = 1
-    max_groups: int = 4
+    max_groups: int = 8
     floor_share: float = 0.0
     review_s: float = 10.0
     regroup_s: float = 1800.0
+    evict_pause_s: float = 20.0
     # Renting and returning.
     idle_steady_s: float = 60.0
     idle_spot_s: float = 60.0
@@ -52,6 +53,7 @@
     "floor_share": (0.0, 1.0),
     "review_s": (0.5, 3600.0),
     "regroup_s": (1.0, 86400.0),
+    "evict_pause_s": (0.0, 86400.0),
     "idle_steady_s": (0.0, 86400.0),
     "idle_spot_s": (0.0, 86400.0),
     "headroom": (0.0, 4.0),
