--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -22,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 REVIEW_GAP_S = 1.0
+SUMMARY_S = 30.0
 ERROR_WINDOW_S = 120.0
 MAX_BACKOFF_S = 20.0
 AVOID_S = 20.0
@@ -57,6 +58,7 @@
         self._groups_at = 0.0
         self.arrivals: deque[tuple[float, float, float]] = deque()
         self.list_seen = False
+        self.next_summary = core.now
 
     # -- what others tell -------------------------------------------------------
 
@@ -298,6 +300,8 @@
             self._regroup()
         for gpu_pool in (False, True):
             Pool(self, gpu_pool).review(now)
+        if now >= self.next_summary:
+            self.next_summary = now + SUMMARY_S
 
     def _regroup(self) -> None:
         """At long intervals groups are chosen anew, so that dear ones drop out."""
@@ -401,6 +405,8 @@
         )
         fleet.groups = {market for market in fleet.groups if market[0] not in self.kinds}
         fleet.groups |= {(market.kind, market.zone) for market, machines in plan.groups if machines}
+        if now >= fleet.next_summary:
+            self._summary(required, fixed)
         log.debug("pool gpus=%s R=%.1f fixed=%.1f plan=%s", self.gpus, required, fixed, plan)
         self._grow(plan, required, fixed, now)
         self._cover_shortages(now)
@@ -431,6 +437,31 @@
             if spot and (asked, asked_zone) == (kind, zone)
         )
 
+    def _summary(self, required: float, fixed: float) -> None:
+        """One line for operators: what is needed, what there is, what is used."""
+        tables = self.fleet.tables
+        used = 0.0
+        for machine in self.machines:
+            kind = tables.types[machine.type]
+            free = machine.free_gpus / kind.gpus if self.gpus else machine.free_cpus / kind.cpus
+            used += (1.0 - free) * self.units(kind)
+        short = [s for s in self.fleet.shortages if (s.job.spec.gpus > 0) == self.gpus]
+        log.info(
+            "%s: need %.1f (%.1f steady) in %s; have %.1f steady, %.1f spot, of %d machines"
+            " %d boot; use %.1f; %d tasks of %d jobs wait",
+            "with cards" if self.gpus else "no cards",
+            required,
+            fixed,
+            tables.type_names.names[self.steady],
+            self._capacity(False),
+            self._capacity(True),
+            len(self.machines),
+            sum(1 for machine in self.machines if machine.status == BOOTING),
+            used,
+            sum(s.tasks for s in short),
+            len(short),
+        )
+
     def _asked(self, spot: bool) -> float:
         return sum(
             count * self.units(self.fleet.tables.types[kind])
