--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -30,6 +30,8 @@
 OPEN, FINISHED, CANCELLED = range(3)
 
 EPSILON = 1e-6
+RATIO_WEIGHT = 0.02
+"""Weight of one finished task in its class's correction of estimates."""
 
 
 class Run:
@@ -293,6 +295,8 @@
         self.machine_names = NameIndex()
         self.machines: dict[int, Machine] = {}
         self.gone: set[str] = set()
+        # By class of jobs: how long tasks ran, measured in their estimates.
+        self.run_ratios: dict[str, float] = {}
 
     def set_types(self, types: list[MachineType]) -> bool:
         """Take in prices; true if anything but a price is new."""
@@ -380,6 +384,18 @@
         job.pending.discard(task)
         return True
 
+    def ran(self, job: Job, seconds: float) -> None:
+        """Learn how far off a class's estimates are."""
+        if job.spec.estimate_s <= 0:
+            return
+        ratio = min(10.0, seconds / job.spec.estimate_s)
+        known = self.run_ratios.get(job.spec.job_class, 1.0)
+        self.run_ratios[job.spec.job_class] = known + (ratio - known) * RATIO_WEIGHT
+
+    def expected_s(self, job: Job) -> float:
+        """A task's run time: the owner's estimate, corrected by what was seen."""
+        return job.spec.estimate_s * self.run_ratios.get(job.spec.job_class, 1.0)
+
     def retire(self, job: Job) -> None:
         """Shrink an ended job to its final state."""
         self.finals[job.spec.id] = job.status
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -503,6 +503,8 @@
         why = entry.why or "error"
         if why == "done" and run.job.status != CANCELLED:
             machine.errors.clear()
+            if run.running_since:
+                self.tables.ran(run.job, self.now - run.running_since)
             done.append(run)
             return
         if why == "error":
--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -79,10 +79,19 @@
         return sorted(jobs, key=self._urgency)
 
     def _urgency(self, job: Job) -> tuple[int, bool, bool, float, float]:
-        due = deadline(job)
-        late = due < self.wall + job.spec.estimate_s * 0.5
-        borrowed = job.spec.gpus > 0 and not self.within_guarantee(job)
-        return (job.rank, borrowed, late, due, job.submitted)
+        """Within a priority: what can still be in time, and of that the least work.
+
+        When there is more work than room, somebody is late whatever the order;
+        the least work first keeps the number of late jobs down.
+        """
+        spec = job.spec
+        borrowed = spec.gpus > 0 and not self.within_guarantee(job)
+        if spec.deadline_s is None:
+            return (job.rank, borrowed, False, float("inf"), job.submitted)
+        expected = self.tables.expected_s(job)
+        late = deadline(job) < self.wall + expected
+        work = len(job.pending) * expected * max(spec.cpus, spec.gpus)
+        return (job.rank, borrowed, late, work, job.submitted)
 
     def within_guarantee(self, job: Job) -> bool:
         team = self.tables.teams[job.team]
