--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -56,7 +56,8 @@
         self.evicted: dict[tuple[int, int], float] = {}
         self._written_groups: list[str] = self.group_table()
         self._groups_at = 0.0
-        self.arrivals: deque[tuple[float, float, float]] = deque()
+        # What arrived lately: time, CPUs, GPUs, and whether it may use spot.
+        self.arrivals: deque[tuple[float, float, float, bool]] = deque()
         self.list_seen = False
         self.next_summary = core.now
 
@@ -70,7 +71,9 @@
 
     def arrived(self, job: Job) -> None:
         spec = job.spec
-        self.arrivals.append((self.core.now, spec.cpus * spec.tasks, spec.gpus * spec.tasks))
+        self.arrivals.append(
+            (self.core.now, spec.cpus * spec.tasks, spec.gpus * spec.tasks, spec.spot)
+        )
 
     def adopt(self, report: Report) -> Machine | None:
         """A machine we did not know: rented late, or by a leader before us."""
@@ -238,7 +241,7 @@
         type_name, zone_name = self.tables.type_names.names[kind], self.tables.zones.names[zone]
         log.info(
             "rented %s of %d %s in %s%s",
-            "unknown" if names is None else len(names),
+            "none" if refused else "unknown" if names is None else len(names),
             count,
             type_name,
             zone_name,
@@ -371,10 +374,15 @@
                 sums[1] += tasks * spec.gpus
                 sums[2] += tasks * spec.memory_gb
         # Work that will arrive while a machine boots.
-        arrived = sum(entry[2 if self.gpus else 1] for entry in self.fleet.arrivals)
-        window = max(20.0, min(self.fleet.operator.warm_window_s, now - self.fleet.started))
-        coming = arrived / window * steady.boot_s * self.fleet.operator.headroom
-        total[1 if self.gpus else 0] += coming
+        operator = self.fleet.operator
+        window = max(20.0, min(operator.warm_window_s, now - self.fleet.started))
+        share = steady.boot_s * operator.headroom / window
+        size = 1 if self.gpus else 0
+        for _, cpus, gpus, spot in self.fleet.arrivals:
+            if (gpus > 0) == self.gpus:
+                coming = (gpus if self.gpus else cpus) * share
+                total[size] += coming
+                fixed[size] += 0.0 if spot else coming
 
         def in_steady(sums: list[float]) -> float:
             sizes = (steady.cpus, steady.gpus, steady.memory_gb)
