--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import logging
-import random
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -80,7 +79,7 @@
         replay: Replay,
         journal: Journal,
         now: float,
-        rng: random.Random,
+        wall: float,
     ) -> None:
         self.settings = settings
         self.operator = operator
@@ -88,11 +87,10 @@
         self.token = token
         self.tables: Tables = replay.tables
         self.journal = journal
-        self.rng = rng
         self.effects: deque[Effect] = deque()
         self.started = now
         self.now = now
-        self.wall = 0.0
+        self.wall = wall
         self.dirty = True
         self.placed_at = 0.0
         self.next_tick = now
@@ -102,9 +100,9 @@
         self._waiting: dict[int, Any] = {}
         self.is_stalled = False
         self.fleet = Fleet(self, replay.groups)
-        self._restore(replay)
+        self._restore(replay, wall)
 
-    def _restore(self, replay: Replay) -> None:
+    def _restore(self, replay: Replay, wall: float) -> None:
         """Known assignments stay where they are until there is proof."""
         tables = self.tables
         for (index, task), (attempt, name, session) in replay.places.items():
@@ -119,6 +117,9 @@
             run = tables.assign(job, task, attempt, machine, session)
             run.durable = run.pushed = True
             run.mine = False
+        for job in tables.jobs.values():
+            # What arrived under the leader before still says how much comes.
+            self.fleet.arrived(job, self.now - max(0.0, wall - job.submitted))
         for machine in tables.machines.values():
             machine.status = UP
             # Whoever led before us may have answered until we were elected.
@@ -221,7 +222,7 @@
 
         self.journal.append(record, accepted)
         self.reply_durable(slot, 201, users.state_body(spec.id, users.PENDING))
-        self.fleet.arrived(job)
+        self.fleet.arrived(job, self.now)
 
     def _takes_writes(self) -> bool:
         return (
--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -69,11 +69,9 @@
             self.core.dirty = True
         self.types_at = self.core.now
 
-    def arrived(self, job: Job) -> None:
+    def arrived(self, job: Job, at: float) -> None:
         spec = job.spec
-        self.arrivals.append(
-            (self.core.now, spec.cpus * spec.tasks, spec.gpus * spec.tasks, spec.spot)
-        )
+        self.arrivals.append((at, spec.cpus * spec.tasks, spec.gpus * spec.tasks, spec.spot))
 
     def adopt(self, report: Report) -> Machine | None:
         """A machine we did not know: rented late, or by a leader before us."""
@@ -375,8 +373,7 @@
                 sums[2] += tasks * spec.memory_gb
         # Work that will arrive while a machine boots.
         operator = self.fleet.operator
-        window = max(20.0, min(operator.warm_window_s, now - self.fleet.started))
-        share = steady.boot_s * operator.headroom / window
+        share = steady.boot_s * operator.headroom / operator.warm_window_s
         size = 1 if self.gpus else 0
         for _, cpus, gpus, spot in self.fleet.arrivals:
             if (gpus > 0) == self.gpus:
@@ -517,8 +514,10 @@
             count = int(-(-missing_units // units))
             got = self._rent_spread(kind, False, count)
             missing_units -= got * units
+        missing_units = min(missing_units, required - fixed - self._capacity(True))
         if missing_units > 1e-6:
-            # No steady machine to be had: spot of any type is better than none.
+            # No steady machine to be had: spot of any type is better than none,
+            # for work that may use it.
             for kind in order:
                 units = self.units(tables.types[kind])
                 got = self._rent_spread(kind, True, int(-(-missing_units // units)))
@@ -635,6 +634,9 @@
         for machine in idle:
             units = self.units(tables.types[machine.type])
             limit = fleet.operator.idle_spot_s if machine.spot else fleet.operator.idle_steady_s
+            # A machine that is rented again costs its boot: waiting idle for as
+            # long as that is never worse than twice the best hindsight.
+            limit = max(limit, tables.types[machine.type].boot_s)
             if now - machine.idle_since < limit or len(leaving) >= cloud.MAX_DELETE:
                 continue
             if machine.spot:
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -5,7 +5,6 @@
 import gc
 import logging
 import queue
-import random
 import secrets
 from collections.abc import Callable
 from typing import Any
@@ -261,7 +260,7 @@
             replay,
             journal,
             now,
-            random.Random(term.token),
+            self.routines.wall(),
         )
         self._term = term
         self.cloud.lead(term)
