--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -156,8 +156,11 @@
             self.evict(machine)
 
     def _check_health(self, now: float) -> None:
-        silent_s = self.operator.silent_s
-        probe_s = self.core.settings.deployment.workers.report_s * 1.6
+        report_s = self.core.settings.deployment.workers.report_s
+        # Reports are a quarter late at most: one that is missing is probed for
+        # at once, and two intervals without any must have passed.
+        probe_s = report_s * 1.4
+        silent_s = max(self.operator.silent_s, 2.2 * report_s)
         up = [m for m in self.tables.machines.values() if m.status == UP and not m.asked_gone]
         silent = [m for m in up if now - max(m.last_heard, self.started) > probe_s]
         # If much of the fleet is silent at once, it is more likely ourselves.
--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -41,7 +41,7 @@
     write_share: float = 0.9
     snapshot_kb: int = 256
     # Machines.
-    silent_s: float = 6.0
+    silent_s: float = 4.0
     sick_jobs: int = 2
     # Order among jobs.
     preempt: bool = True
