--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -56,7 +56,13 @@
         self.evicted: dict[tuple[int, int], float] = {}
         self._written_groups: list[str] = self.group_table()
         self._groups_at = 0.0
-        # What arrived lately: time, CPUs, GPUs, and whether it may use spot.
+        # Classes whose tasks are to start soon: for these, room is kept.
+        self.prompt_classes = {
+            objective.job_class
+            for objective in core.settings.deployment.objectives
+            if objective.kind == "wait"
+        }
+        # What arrived of them lately: time, CPUs, GPUs, and whether it may use spot.
         self.arrivals: deque[tuple[float, float, float, bool]] = deque()
         self.list_seen = False
         self.next_summary = core.now
@@ -71,6 +77,8 @@
 
     def arrived(self, job: Job, at: float) -> None:
         spec = job.spec
+        if spec.job_class not in self.prompt_classes:
+            return
         self.arrivals.append((at, spec.cpus * spec.tasks, spec.gpus * spec.tasks, spec.spot))
 
     def adopt(self, report: Report) -> Machine | None:
--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -29,7 +29,7 @@
     # Renting and returning.
     idle_steady_s: float = 25.0
     idle_spot_s: float = 25.0
-    headroom: float = 1.0
+    headroom: float = 0.6
     warm_window_s: float = 90.0
     refusal_backoff_s: float = 15.0
     boot_patience: float = 2.5
