--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -154,6 +154,7 @@
     __slots__ = (
         "addr",
         "asked_gone",
+        "cordoned",
         "cpus",
         "delete_at",
         "draining",
@@ -173,6 +174,7 @@
         "name",
         "notice_at",
         "probe",
+        "probing",
         "pushing",
         "rented_at",
         "runs",
@@ -213,17 +215,20 @@
         self.idle_since = 0.0
         self.notice_at: float | None = None
         self.draining = False
+        self.cordoned = False
         self.asked_gone = False
         self.delete_at = 0.0
         self.pushing = False
         self.probe = 0
+        self.probing = False
         self.group = -1
         self.errors: dict[int, float] = {}
         self.failed_until = 0.0
         self.sick = False
 
     def usable(self) -> bool:
-        return self.status == UP and not (self.draining or self.asked_gone or self.sick)
+        leaving = self.draining or self.cordoned or self.asked_gone
+        return self.status == UP and not (leaving or self.sick)
 
     def empty(self) -> bool:
         """No task can be on it; exited ones may still be in its reports."""
--- /dev/null
+++ b/appleshift/coordination/consolidation.py
@@ -0,0 +1,123 @@
+"""Emptying a steady machine that is not needed, by moving its replicas.
+
+Replicas may never end, so one on each of several half-empty machines would
+keep them all for good. When steady capacity is to spare, one machine at a time
+takes no new work; its replicas move, a few at a time, to machines that have
+their image, and once it is empty it goes back.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from appleshift.bookkeeping.tables import EPSILON, RUNNING, UP, Job, Machine, Run
+from appleshift.coordination.placement import zone_room
+
+if TYPE_CHECKING:
+    from appleshift.coordination.fleet import Fleet
+
+log = logging.getLogger(__name__)
+
+SETTLED_S = 40.0
+"""Neither a new leader nor a replica that just started is disturbed."""
+MOVES_AT_ONCE = 2
+MOST_USED = 0.6
+"""A machine used more than this is not worth moving."""
+
+
+class Consolidation:
+    """At most one machine is being emptied."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.tables = fleet.tables
+        self.started = fleet.core.now
+        self.leaving: Machine | None = None
+        self.next_look = fleet.core.now
+
+    def step(self, now: float) -> None:
+        machine = self.leaving
+        if machine is not None:
+            if machine.asked_gone or machine.status != UP:
+                self.leaving = None
+            elif self.fleet.shortages:
+                log.info("machine %s is needed after all", machine.name)
+                machine.cordoned = False
+                self.leaving = None
+            elif machine.empty():
+                self.leaving = None
+                self.fleet.give_up(machine, "its work fits elsewhere")
+            else:
+                self._move(machine, now)
+        elif now >= self.next_look:
+            self.next_look = now + 2.0
+            self._choose(now)
+
+    def _choose(self, now: float) -> None:
+        fleet = self.fleet
+        if fleet.shortages or fleet.asked or now - self.started < SETTLED_S:
+            return
+        spare = fleet.steady_spare.get(False, 0.0)
+        best: tuple[float, Machine] | None = None
+        for machine in self.tables.machines.values():
+            kind = self.tables.types[machine.type]
+            used = 1.0 - machine.free_cpus / kind.cpus if kind.cpus else 1.0
+            if machine.spot or kind.gpus > 0 or not machine.usable() or used > MOST_USED:
+                continue
+            if fleet.units(machine) > spare or machine.empty():
+                continue
+            saving = kind.price * (1.0 - used)
+            if best is None or saving > best[0]:
+                replicas = [run for run in machine.runs.values() if run.job.service]
+                if self._room_elsewhere(machine, replicas, now):
+                    best = (saving, machine)
+        if best is not None:
+            self.leaving = best[1]
+            self.leaving.cordoned = True
+            fleet.steady_spare[False] = 0.0
+            log.info("emptying machine %s", self.leaving.name)
+
+    def _room_elsewhere(self, leaving: Machine, replicas: list[Run], now: float) -> bool:
+        """Would every replica find a machine with its image?"""
+        room = {
+            machine.index: [machine.free_cpus, machine.free_gpus, machine.free_memory]
+            for machine in self.tables.machines.values()
+            if machine is not leaving and machine.usable() and machine.failed_until <= now
+        }
+        for run in replicas:
+            spec = run.job.spec
+            need = (spec.cpus, spec.gpus, spec.memory_gb)
+            for index, free in room.items():
+                machine = self.tables.machines[index]
+                fits = all(have + EPSILON >= want for have, want in zip(free, need, strict=True))
+                if fits and self._allowed(run.job, run, machine):
+                    for position, want in enumerate(need):
+                        free[position] -= want
+                    break
+            else:
+                return False
+        return True
+
+    def _allowed(self, job: Job, run: Run, machine: Machine) -> bool:
+        if job.image not in machine.images or not self.tables.types_for(job)[machine.type]:
+            return False
+        if (machine.spot and not job.spec.spot) or job.zone not in (-1, machine.zone):
+            return False
+        if job.spec.together and machine.zone != run.machine.zone:
+            return False
+        rooms = zone_room(self.tables, job)
+        same = machine.zone == run.machine.zone
+        return rooms is None or rooms[machine.zone] + same > 0
+
+    def _move(self, machine: Machine, now: float) -> None:
+        moving = sum(1 for run in machine.runs.values() if run.grace is not None)
+        for run in list(machine.runs.values()):
+            if moving >= MOVES_AT_ONCE:
+                return
+            settled = run.state == RUNNING and now - run.running_since > SETTLED_S
+            if not (run.job.service and settled and run.grace is None):
+                continue
+            if self._room_elsewhere(machine, [run], now):
+                self.fleet.core.stop(run, 0.0, "move")
+                moving += 1
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -599,6 +599,9 @@
                 run.uncertain -= outcome != "unknown"
         if report is not None and report.machine == name and report.session >= machine.session:
             self._observe(machine, report)
+        if outcome == "unknown":
+            # As good as an unanswered probe.
+            machine.probe += 1
         if outcome != "done":
             machine.failed_until = max(machine.failed_until, self.now + REORDER_S)
         self.dirty = True
--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -88,10 +88,12 @@
         borrowed = spec.gpus > 0 and not self.within_guarantee(job)
         if spec.deadline_s is None:
             return (job.rank, borrowed, False, float("inf"), job.submitted)
-        expected = self.tables.expected_s(job)
-        late = deadline(job) < self.wall + expected
-        work = len(job.pending) * expected * max(spec.cpus, spec.gpus)
-        return (job.rank, borrowed, late, work, job.submitted)
+        work = len(job.pending) * self.tables.expected_s(job) * max(spec.cpus, spec.gpus)
+        return (job.rank, borrowed, self.late(job), work, job.submitted)
+
+    def late(self, job: Job) -> bool:
+        """A task that starts now cannot be expected to end in time."""
+        return deadline(job) < self.wall + self.tables.expected_s(job)
 
     def within_guarantee(self, job: Job) -> bool:
         team = self.tables.teams[job.team]
@@ -270,7 +272,10 @@
                     gpus += run.job.spec.gpus
                     memory += run.job.spec.memory_gb
             victims = [run for run in machine.runs.values() if self._may_stop(job, run)]
-            victims.sort(key=lambda run: (-run.job.rank, -run.running_since))
+            # Of the least urgent work, what is late anyway, then the youngest.
+            victims.sort(
+                key=lambda run: (-run.job.rank, not self.late(run.job), -run.running_since)
+            )
             chosen: list[Run] = []
             while missing > 0 and (rooms is None or rooms[machine.zone] > 0):
                 if cpus + EPSILON >= spec.cpus and (
--- /dev/null
+++ b/appleshift/coordination/provisioning.py
@@ -0,0 +1,356 @@
+"""Renting by the paper's plan, for the machines with cards and for those without."""
+
+from __future__ import annotations
+
+import logging
+import math
+from typing import TYPE_CHECKING
+
+from appleshift.bookkeeping.tables import BOOTING, OPEN, UP, Job, Machine
+from appleshift.coordination.placement import how_many, zone_room
+from appleshift.coordination.scaling import Market, Plan, find_plan, machines_for
+from appleshift.protocol import cloud
+from appleshift.protocol.cloud import MachineType
+
+if TYPE_CHECKING:
+    from appleshift.coordination.fleet import Fleet
+
+log = logging.getLogger(__name__)
+
+
+class Pool:
+    """One review of the machines with cards, or of those without."""
+
+    def __init__(self, fleet: Fleet, gpus: bool) -> None:
+        self.fleet = fleet
+        self.gpus = gpus
+        tables = fleet.tables
+        self.kinds = [index for index, kind in enumerate(tables.types) if (kind.gpus > 0) == gpus]
+        self.machines = [
+            machine
+            for machine in tables.machines.values()
+            if machine.type in self.kinds
+            and not (machine.asked_gone or machine.sick or machine.draining or machine.cordoned)
+        ]
+        self.steady = min(
+            self.kinds,
+            key=lambda index: tables.types[index].price / self._size(tables.types[index]),
+            default=-1,
+        )
+
+    def _size(self, kind: MachineType) -> float:
+        return max(1e-6, kind.gpus if self.gpus else kind.cpus)
+
+    def units(self, kind: MachineType) -> float:
+        """A machine measured in steady machines, by its scarcest dimension."""
+        steady = self.fleet.tables.types[self.steady]
+        ratios = [kind.cpus / steady.cpus, kind.memory_gb / steady.memory_gb]
+        if self.gpus:
+            ratios = [kind.gpus / steady.gpus]
+        return max(1e-6, min(ratios))
+
+    def demand(self, now: float) -> tuple[float, float]:
+        """R, and the part of it that may not use spot machines."""
+        tables = self.fleet.tables
+        steady = tables.types[self.steady]
+        total = [0.0, 0.0, 0.0]
+        fixed = [0.0, 0.0, 0.0]
+        for job in tables.jobs.values():
+            spec = job.spec
+            if job.status != OPEN or (spec.gpus > 0) != self.gpus:
+                continue
+            tasks = spec.tasks - job.done_count
+            limits = tables.teams[job.team].limits
+            if spec.gpus > 0 and limits.gpus_max > 0:
+                tasks = min(tasks, int(limits.gpus_max / spec.gpus))
+            if spec.gpus <= 0 and limits.cpus_max > 0 and spec.cpus > 0:
+                tasks = min(tasks, int(limits.cpus_max / spec.cpus))
+            for sums in (total, fixed) if not spec.spot else (total,):
+                sums[0] += tasks * spec.cpus
+                sums[1] += tasks * spec.gpus
+                sums[2] += tasks * spec.memory_gb
+        # Work that will arrive while a machine boots.
+        operator = self.fleet.operator
+        share = steady.boot_s * operator.headroom / operator.warm_window_s
+        size = 1 if self.gpus else 0
+        for _, cpus, gpus, spot in self.fleet.arrivals:
+            if (gpus > 0) == self.gpus:
+                coming = (gpus if self.gpus else cpus) * share
+                total[size] += coming
+                fixed[size] += 0.0 if spot else coming
+
+        def in_steady(sums: list[float]) -> float:
+            sizes = (steady.cpus, steady.gpus, steady.memory_gb)
+            return max(amount / size for amount, size in zip(sums, sizes, strict=True) if size > 0)
+
+        return in_steady(total), in_steady(fixed)
+
+    def review(self, now: float) -> None:
+        if self.steady < 0:
+            return
+        fleet, tables = self.fleet, self.fleet.tables
+        steady_kind = tables.types[self.steady]
+        required, fixed = self.demand(now)
+        floor = machines_for(max(fixed, required * fleet.operator.floor_share), 1.0)
+        current: list[Market] = []
+        others: list[Market] = []
+        for market in self.markets(now):
+            chosen = (market.kind, market.zone) in fleet.groups
+            (current if chosen else others).append(market)
+        plan = find_plan(
+            required,
+            floor,
+            steady_kind.price,
+            current,
+            others,
+            fleet.operator.spare_groups,
+            fleet.operator.max_groups,
+        )
+        fleet.groups = {market for market in fleet.groups if market[0] not in self.kinds}
+        fleet.groups |= {(market.kind, market.zone) for market, machines in plan.groups if machines}
+        if now >= fleet.next_summary:
+            self._summary(required, fixed)
+        log.debug("pool gpus=%s R=%.1f fixed=%.1f plan=%s", self.gpus, required, fixed, plan)
+        self._grow(plan, required, fixed, now)
+        self._cover_shortages(now)
+        self._shrink(plan, required, fixed, now)
+
+    def markets(self, now: float) -> list[Market]:
+        """Where spot machines may be rented, capped where there are no more."""
+        fleet, tables = self.fleet, self.fleet.tables
+        found = []
+        for kind in self.kinds:
+            spec = tables.types[kind]
+            for name in spec.zones:
+                zone = tables.zones.get(name)
+                if fleet.evicted.get((kind, zone), 0.0) > now:
+                    continue
+                have = self._held(kind, zone)
+                most = math.inf if fleet.available(kind, zone, True) else have
+                if most > 0:
+                    found.append(Market(kind, zone, self.units(spec), spec.spot_price, most))
+        return found
+
+    def _held(self, kind: int, zone: int) -> int:
+        """Spot machines of a market, those under way included."""
+        have = sum(1 for m in self.machines if m.spot and (m.type, m.zone) == (kind, zone))
+        return have + sum(
+            count
+            for asked, asked_zone, spot, count in self.fleet.asked.values()
+            if spot and (asked, asked_zone) == (kind, zone)
+        )
+
+    def _summary(self, required: float, fixed: float) -> None:
+        """One line for operators: what is needed, what there is, what is used."""
+        tables = self.fleet.tables
+        used = 0.0
+        for machine in self.machines:
+            kind = tables.types[machine.type]
+            free = machine.free_gpus / kind.gpus if self.gpus else machine.free_cpus / kind.cpus
+            used += (1.0 - free) * self.units(kind)
+        short = [s for s in self.fleet.shortages if (s.job.spec.gpus > 0) == self.gpus]
+        log.info(
+            "%s: need %.1f (%.1f steady) in %s; have %.1f steady, %.1f spot, of %d machines"
+            " %d boot; use %.1f; %d tasks of %d jobs wait",
+            "with cards" if self.gpus else "no cards",
+            required,
+            fixed,
+            tables.type_names.names[self.steady],
+            self._capacity(False),
+            self._capacity(True),
+            len(self.machines),
+            sum(1 for machine in self.machines if machine.status == BOOTING),
+            used,
+            sum(s.tasks for s in short),
+            len(short),
+        )
+
+    def _asked(self, spot: bool) -> float:
+        return sum(
+            count * self.units(self.fleet.tables.types[kind])
+            for kind, _, asked_spot, count in self.fleet.asked.values()
+            if kind in self.kinds and asked_spot == spot
+        )
+
+    def _capacity(self, spot: bool) -> float:
+        """Capacity there is or will be; boots that are late no longer count."""
+        tables, now = self.fleet.tables, self.fleet.core.now
+        total = 0.0
+        for machine in self.machines:
+            kind = tables.types[machine.type]
+            late = machine.status == BOOTING and now - machine.rented_at > kind.boot_s * 1.6
+            if machine.spot == spot and not late:
+                total += self.units(kind)
+        return total + self._asked(spot)
+
+    def _grow(self, plan: Plan, required: float, fixed: float, now: float) -> None:
+        fleet, tables = self.fleet, self.fleet.tables
+        # Orphans fill what groups lack before anything is rented.
+        orphans = sum(
+            self.units(tables.types[m.type])
+            for m in self.machines
+            if m.spot and (m.type, m.zone) not in fleet.groups
+        )
+        for market, wanted in plan.groups:
+            missing = wanted - self._held(market.kind, market.zone)
+            filled = min(missing, int(orphans / market.units)) if missing > 0 else 0
+            orphans -= filled * market.units
+            missing -= filled
+            if missing > 0 and fleet.available(market.kind, market.zone, True):
+                fleet.rent(market.kind, market.zone, True, missing)
+        steady_have = self._capacity(False)
+        needed = max(fixed, required - self._capacity(True))
+        order = sorted(
+            self.kinds,
+            key=lambda index: tables.types[index].price / self._size(tables.types[index]),
+        )
+        missing_units = needed - steady_have
+        for kind in order:
+            if missing_units <= 1e-6:
+                return
+            units = self.units(tables.types[kind])
+            count = int(-(-missing_units // units))
+            got = self._rent_spread(kind, False, count)
+            missing_units -= got * units
+        missing_units = min(missing_units, required - fixed - self._capacity(True))
+        if missing_units > 1e-6:
+            # No steady machine to be had: spot of any type is better than none,
+            # for work that may use it.
+            for kind in order:
+                units = self.units(tables.types[kind])
+                got = self._rent_spread(kind, True, int(-(-missing_units // units)))
+                missing_units -= got * units
+                if missing_units <= 1e-6:
+                    return
+
+    def _cover_shortages(self, now: float) -> None:
+        """Rent for work that the capacity there is can never take.
+
+        R says how much is needed, not where: a job bound to a zone or a type,
+        or replicas that must be spread, may find no room although R is met.
+        Other work may wait for what is running to end; replicas cannot, for
+        nothing that runs beside them need ever end.
+        """
+        fleet, tables = self.fleet, self.fleet.tables
+        coming = [
+            (tables.types[m.type], m.type, m.zone, m.spot)
+            for m in self.machines
+            if m.status == BOOTING and now - m.rented_at <= tables.types[m.type].boot_s * 1.6
+        ]
+        for kind, zone, spot, count in fleet.asked.values():
+            coming += [(tables.types[kind], kind, zone, spot)] * count
+        for shortage in fleet.shortages:
+            job, spec = shortage.job, shortage.job.spec
+            if job.status != OPEN or (spec.gpus > 0) != self.gpus:
+                continue
+            rooms = zone_room(tables, job)
+            type_ok = tables.types_for(job)
+            zones = [
+                zone
+                for zone in range(len(tables.zones))
+                if job.zone in (-1, zone) and (rooms is None or rooms[zone] > 0)
+            ]
+            if not job.service and any(
+                m.status == UP and type_ok[m.type] and m.zone in zones and spec.spot >= m.spot
+                for m in self.machines
+            ):
+                continue
+            missing = shortage.tasks
+            for entry in list(coming):
+                offer, index, zone, spot = entry
+                if missing > 0 and type_ok[index] and zone in zones and spec.spot >= spot:
+                    coming.remove(entry)
+                    missing -= how_many(offer.cpus, offer.gpus, offer.memory_gb, spec)
+            if missing > 0:
+                self._rent_for(job, missing, zones)
+
+    def _rent_for(self, job: Job, tasks: int, zones: list[int]) -> None:
+        """Rent the cheapest machines on which these tasks may run."""
+        fleet, tables = self.fleet, self.fleet.tables
+        type_ok = tables.types_for(job)
+        spec = job.spec
+
+        def price(kind: int, spot: bool) -> float:
+            offer = tables.types[kind]
+            fit = max(1, how_many(offer.cpus, offer.gpus, offer.memory_gb, spec))
+            each = offer.spot_price if spot else offer.price
+            return each * -(-tasks // fit)
+
+        offers = sorted(
+            (price(kind, spot), kind, zone, spot)
+            for kind in self.kinds
+            if type_ok[kind]
+            for spot in ((False, True) if spec.spot else (False,))
+            for zone in zones
+            if tables.zones.names[zone] in tables.types[kind].zones
+            and fleet.available(kind, zone, spot)
+        )
+        if offers:
+            _, kind, zone, spot = offers[0]
+            offer = tables.types[kind]
+            fit = max(1, how_many(offer.cpus, offer.gpus, offer.memory_gb, spec))
+            fleet.rent(kind, zone, spot, -(-tasks // fit))
+
+    def _rent_spread(self, kind: int, spot: bool, count: int) -> int:
+        """Rent in the zones that have least, as far as none refuses."""
+        fleet, tables = self.fleet, self.fleet.tables
+        zones = [tables.zones.get(zone) for zone in tables.types[kind].zones]
+        open_zones = [
+            zone
+            for zone in zones
+            if zone >= 0
+            and fleet.available(kind, zone, spot)
+            and not any(entry[:3] == (kind, zone, spot) for entry in fleet.asked.values())
+        ]
+        if count <= 0 or not open_zones:
+            return 0
+        held = dict.fromkeys(open_zones, 0.0)
+        for machine in self.machines:
+            if machine.zone in held:
+                held[machine.zone] += self.units(tables.types[machine.type])
+        shares = dict.fromkeys(open_zones, 0)
+        for _ in range(min(count, cloud.MAX_RENT)):
+            zone = min(open_zones, key=lambda zone: (held[zone], zone))
+            shares[zone] += 1
+            held[zone] += self.units(tables.types[kind])
+        for zone, share in shares.items():
+            if share:
+                fleet.rent(kind, zone, spot, share)
+        return sum(shares.values())
+
+    def _shrink(self, plan: Plan, required: float, fixed: float, now: float) -> None:
+        """Return idle machines that the plan does without, the dearest first."""
+        fleet, tables = self.fleet, self.fleet.tables
+        fleet.steady_spare[self.gpus] = 0.0
+        if fleet.asked or any(s.job.spec.gpus > 0 for s in fleet.shortages if self.gpus):
+            return
+        wanted = {(market.kind, market.zone): count for market, count in plan.groups}
+        steady_spare = self._capacity(False) - max(fixed, required - self._capacity(True))
+        total_spare = self._capacity(False) + self._capacity(True) - required
+        idle = [m for m in self.machines if m.status == UP and m.idle_since and m.empty()]
+        idle.sort(key=lambda m: -tables.types[m.type].price)
+        leaving: list[Machine] = []
+        for machine in idle:
+            units = self.units(tables.types[machine.type])
+            limit = fleet.operator.idle_spot_s if machine.spot else fleet.operator.idle_steady_s
+            # A machine that is rented again costs its boot: waiting idle for as
+            # long as that is never worse than twice the best hindsight.
+            limit = max(limit, tables.types[machine.type].boot_s)
+            if now - machine.idle_since < limit or len(leaving) >= cloud.MAX_DELETE:
+                continue
+            if machine.spot:
+                market = (machine.type, machine.zone)
+                gone = sum(1 for m in leaving if m.spot and (m.type, m.zone) == market)
+                if self._held(*market) - gone <= wanted.get(market, 0) or total_spare < units:
+                    continue
+            elif steady_spare < units:
+                continue
+            else:
+                steady_spare -= units
+            total_spare -= units
+            leaving.append(machine)
+        if not leaving:
+            fleet.steady_spare[self.gpus] = steady_spare
+        for machine in leaving:
+            log.info("returning idle machine %s", machine.name)
+        fleet.core.delete(leaving)
