--- a/appleshift/coordination/consolidation.py
+++ b/appleshift/coordination/consolidation.py
@@ -65,7 +65,9 @@
             used = 1.0 - machine.free_cpus / kind.cpus if kind.cpus else 1.0
             if machine.spot or kind.gpus > 0 or not machine.usable() or used > MOST_USED:
                 continue
-            if fleet.units(machine) > spare or machine.empty():
+            if fleet.units(machine) * self.fleet.operator.consolidate_spare > spare:
+                continue
+            if machine.empty():
                 continue
             saving = kind.price * (1.0 - used)
             if best is None or saving > best[0]:
--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -33,6 +33,7 @@
     warm_window_s: float = 90.0
     refusal_backoff_s: float = 15.0
     boot_patience: float = 2.5
+    consolidate_spare: float = 1.5
     # Leadership.
     leader_lease_s: float = 2.0
     renew_s: float = 0.5
@@ -41,7 +42,7 @@
     write_share: float = 0.9
     snapshot_kb: int = 256
     # Machines.
-    silent_s: float = 4.0
+    silent_s: float = 3.0
     sick_jobs: int = 2
     # Order among jobs.
     preempt: bool = True
@@ -60,6 +61,7 @@
     "warm_window_s": (1.0, 86400.0),
     "refusal_backoff_s": (0.1, 3600.0),
     "boot_patience": (1.5, 100.0),
+    "consolidate_spare": (1.0, 1e6),
     "leader_lease_s": (0.5, 60.0),
     "renew_s": (0.1, 30.0),
     "pledge_s": (1.0, 60.0),
