--- a/appleshift/coordination/outbound.py
+++ b/appleshift/coordination/outbound.py
@@ -18,7 +18,7 @@
 log = logging.getLogger(__name__)
 
 PUSH_TIMEOUT_S = 1.5
-INSPECT_TIMEOUT_S = 1.0
+INSPECT_TIMEOUT_S = 0.6
 RENT_TRIES = 5
 
 Post = Callable[..., None]
--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -28,7 +28,7 @@
     evict_pause_s: float = 20.0
     # Renting and returning.
     idle_steady_s: float = 25.0
-    idle_spot_s: float = 25.0
+    idle_spot_s: float = 60.0
     headroom: float = 0.6
     warm_window_s: float = 90.0
     refusal_backoff_s: float = 15.0
