--- a/appleshift/bookkeeping/records.py
+++ b/appleshift/bookkeeping/records.py
@@ -30,8 +30,8 @@
 NEXT = "N"
 
 _SPEC_FIELDS = Submission.__struct_fields__
-_TASKS_A_RECORD = 300
-"""Ranges of this many tasks fit a small value even if no two are neighbours."""
+_TASKS_A_RECORD = 100
+"""Ranges of this many tasks fit the smallest value even if no two are neighbours."""
 
 
 def job_record(job: Job) -> Record:
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -392,9 +392,8 @@
                     run.exit_durable = True
                 if whole and job.status == FINISHED:
                     job.done_durable = True
-                    for run in job.runs.values():
-                        if not job.gang:
-                            self.stop(run, 0.0, "over")
+                    for run in [] if job.gang else list(job.runs.values()):
+                        self.stop(run, 0.0, "over")
                 self._maybe_end(job)
 
             self.write(records.done_records(job, done), durable)
@@ -558,6 +557,10 @@
                     commands.append(workers.clear(run.name, run.attempt))
                 continue
             if run.state == ORDERED:
+                if run.grace is not None and not run.mine:
+                    # An earlier leader's start, perhaps of a job cancelled long
+                    # ago: the worker's next reports show it, or that it is void.
+                    continue
                 if run.grace is not None and self.now - run.stopped_at > cancel_s * 0.5:
                     # Too late to start anything of a cancelled job: if the
                     # start does not show itself, the machine is given up.
--- a/appleshift/protocol/settings.py
+++ b/appleshift/protocol/settings.py
@@ -8,6 +8,10 @@
 import msgspec
 
 
+MIN_VALUE_KB = 2.0
+"""A record must fit one value of the state service."""
+
+
 class SettingsError(Exception):
     """The settings cannot be used; the message says where and why."""
 
@@ -127,6 +131,8 @@
     for where, value in positive.items():
         if not value > 0:
             raise ValueError(f"{where} must be above 0, not {value}")
+    if deployment.state.value_kb < MIN_VALUE_KB:
+        raise ValueError(f"deployment.state.value_kb must be at least {MIN_VALUE_KB}")
     names = [settings.name, *(sibling.name for sibling in settings.siblings)]
     if len(set(names)) != len(names):
         raise ValueError("host_name: two nodes have the same name")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -64,6 +64,7 @@
         ('"127.0.0.1:8080"', '"nowhere"', "nowhere"),
         ("report_s = 1.5", 'report_s = "often"', "report_s"),
         ("write_rps = 15.0", "write_rps = 0.0", "write_rps"),
+        ("value_kb = 8.0", "value_kb = 1.0", "value_kb"),
         ('host_name = "n1"', 'host_name = "n0"', "same name"),
         ("[external]", "[external", "not TOML"),
     ],
