--- a/appleshift/protocol/settings.py
+++ b/appleshift/protocol/settings.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-
 MIN_VALUE_KB = 2.0
 """A record must fit one value of the state service."""
 
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,143 @@
+"""The leader's core, event by event: what it orders, and what it waits for."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from appleshift.bookkeeping import records
+from appleshift.bookkeeping.journal import Journal, Meta
+from appleshift.bookkeeping.records import Replay
+from appleshift.bookkeeping.tables import Tables
+from appleshift.coordination.core import Core
+from appleshift.coordination.effects import Push, Reply
+from appleshift.protocol.operator import OperatorSettings
+from appleshift.protocol.workers import Report, TaskReport
+from tests.make import KINDS, submission
+from tests.world import CANCEL_S, LEASE_S, settings_for
+
+
+class Always:
+    def may_write(self, now: float) -> bool:
+        return True
+
+    def may_answer(self, now: float) -> bool:
+        return True
+
+
+class Bench:
+    """A core whose records become durable when the test says so."""
+
+    def __init__(self, history: list[list[Any]]) -> None:
+        replay = Replay(Tables(["a", "b"], settings_for("n0").deployment.teams))
+        replay.apply(records.types_record(KINDS))
+        replay.apply(history)
+        journal = Journal("leader", 1, "t", 100.0, 8192, 8, Meta(), 0, 1, now=100.0)
+        self.core = Core(
+            settings_for("n0"), OperatorSettings(), Always(), 7, replay, journal, 100.0, 5000.0
+        )
+        self.now = 100.0
+        self.seq = 0
+
+    def durable(self) -> None:
+        while self.core.journal.next_txn(self.now) is not None:
+            self.core.committed(9)
+
+    def step(self, seconds: float) -> list[Any]:
+        self.now += seconds
+        self.core.step(self.now, 5000.0 + self.now)
+        return self.core.take_effects()
+
+    def report(self, *tasks: TaskReport, token: int = 7, session: int = 1) -> list[dict[str, Any]]:
+        """The machine reports; returns the orders it gets."""
+        self.seq += 1
+        self.core.now = self.now
+        self.core.report(
+            Report("m", "10.1.0.1:9000", "large", "a", False, session, self.seq, token, [*tasks]),
+            "slot",
+        )
+        replies = [effect for effect in self.core.take_effects() if isinstance(effect, Reply)]
+        orders: list[dict[str, Any]] = replies[-1].body["orders"]
+        return orders
+
+
+def history(*more: list[Any]) -> list[list[Any]]:
+    tables = Tables([], [])
+    job = tables.add_job(0, submission(id="job-000000", tasks=2), 4990.0)
+    machine = ["M", "m", "10.1.0.1:9000", "large", "a", False]
+    return [records.job_record(job), machine, ["A", 0, 1, "m", 1, [0, 0]], *more]
+
+
+def test_a_known_assignment_is_repeated_until_the_worker_shows_it() -> None:
+    bench = Bench(history())
+    assert [order["verb"] for order in bench.report(token=6)] == ["run"]
+    orders = bench.report(TaskReport("job-000000/0", 1, "running"))
+    assert "job-000000/0" not in [order["piece"] for order in orders]
+
+
+def test_nothing_is_started_of_a_job_that_was_cancelled_before_this_term() -> None:
+    bench = Bench(history(["C", 0]))
+    assert bench.report(token=6) == []
+    assert bench.step(1.0) == []
+    # The worker has seen this term's token and lists nothing: the task is gone.
+    assert bench.core.tables.jobs
+    bench.report(token=7)
+    bench.durable()
+    assert bench.core.tables.finals == {"job-000000": 2}
+
+
+def test_a_task_waits_for_proof_from_its_own_session() -> None:
+    bench = Bench(history())
+    runs = bench.core.tables.jobs[0].runs
+    bench.step(LEASE_S - 1.0)
+    assert 0 in runs, "whoever led before may have answered until our election"
+    bench.step(2.0)
+    assert 0 not in runs
+    bench = Bench(history())
+    bench.report(token=7, session=2)
+    assert 0 not in bench.core.tables.jobs[0].runs
+
+
+def test_no_start_is_sent_before_its_assignment_is_durable() -> None:
+    bench = Bench(history())
+    bench.report(TaskReport("job-000000/0", 1, "running"))
+    bench.step(0.1)
+    assert 1 in bench.core.tables.jobs[0].runs
+    assert not [effect for effect in bench.step(0.1) if isinstance(effect, Push)]
+    assert bench.report(TaskReport("job-000000/0", 1, "running")) == []
+    bench.durable()
+    (push,) = [effect for effect in bench.step(0.1) if isinstance(effect, Push)]
+    assert [(order["verb"], order["piece"]) for order in push.commands] == [("run", "job-000000/1")]
+
+
+def test_an_exit_is_cleared_only_when_it_is_durable_and_no_start_is_under_way() -> None:
+    bench = Bench(history())
+    exited = TaskReport("job-000000/0", 1, "exited", "done")
+    assert bench.report(exited) == []
+    bench.durable()
+    assert [order["verb"] for order in bench.report(exited)] == ["clear"]
+    bench.step(0.1)
+    bench.durable()
+    (push,) = [effect for effect in bench.step(0.1) if isinstance(effect, Push)]
+    bench.core.pushed("m", 1, push.starts, "unknown", None)
+    second = TaskReport("job-000000/1", 2, "exited", "done")
+    bench.report(second)
+    bench.durable()
+    assert bench.report(second) == [], "the direct start may arrive again, much later"
+
+
+def test_a_cancelled_task_that_does_not_end_costs_its_machine() -> None:
+    bench = Bench(history())
+    running = TaskReport("job-000000/0", 1, "running")
+    bench.report(running)
+    bench.core.cancel("job-000000", "slot")
+    assert not bench.core.take_effects(), "told only once it is durable"
+    bench.durable()
+    deleted = False
+    for _ in range(int(CANCEL_S / 2)):
+        bench.report(running)
+        deleted = deleted or any("Delete" in str(effect) for effect in bench.step(1.0))
+        bench.now += 1.0
+        if deleted:
+            break
+    assert deleted
+    assert bench.now < 100.0 + CANCEL_S
