--- a/appleshift/coordination/provisioning.py
+++ b/appleshift/coordination/provisioning.py
@@ -71,7 +71,11 @@
                 sums[2] += tasks * spec.memory_gb
         # Work that will arrive while a machine boots.
         operator = self.fleet.operator
-        share = steady.boot_s * operator.headroom / operator.warm_window_s
+        first = min((entry[0] for entry in self.fleet.arrivals), default=now)
+        # Measured over a short time at first, but not so short that the jobs
+        # there were at the start look like a stream.
+        window = min(operator.warm_window_s, max(now - first, operator.warm_window_s / 3))
+        share = steady.boot_s * operator.headroom / window
         size = 1 if self.gpus else 0
         for _, cpus, gpus, spot in self.fleet.arrivals:
             if (gpus > 0) == self.gpus:
@@ -332,7 +336,10 @@
         leaving: list[Machine] = []
         for machine in idle:
             units = self.units(tables.types[machine.type])
-            limit = fleet.operator.idle_spot_s if machine.spot else fleet.operator.idle_steady_s
+            operator = fleet.operator
+            limit = operator.idle_cards_s if self.gpus else operator.idle_steady_s
+            if machine.spot:
+                limit = operator.idle_spot_s
             # A machine that is rented again costs its boot: waiting idle for as
             # long as that is never worse than twice the best hindsight.
             limit = max(limit, tables.types[machine.type].boot_s)
--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -27,13 +27,14 @@
     regroup_s: float = 1800.0
     evict_pause_s: float = 20.0
     # Renting and returning.
-    idle_steady_s: float = 25.0
+    idle_steady_s: float = 60.0
+    idle_cards_s: float = 25.0
     idle_spot_s: float = 60.0
-    headroom: float = 0.6
-    warm_window_s: float = 90.0
+    headroom: float = 1.0
+    warm_window_s: float = 240.0
     refusal_backoff_s: float = 15.0
     boot_patience: float = 2.5
-    consolidate_spare: float = 1.5
+    consolidate_spare: float = 2.5
     # Leadership.
     leader_lease_s: float = 2.0
     renew_s: float = 0.5
@@ -57,6 +58,7 @@
     "evict_pause_s": (0.0, 86400.0),
     "idle_steady_s": (0.0, 86400.0),
     "idle_spot_s": (0.0, 86400.0),
+    "idle_cards_s": (0.0, 86400.0),
     "headroom": (0.0, 4.0),
     "warm_window_s": (1.0, 86400.0),
     "refusal_backoff_s": (0.1, 3600.0),
