--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -68,6 +68,8 @@
         self.next_summary = core.now
         # By pool (with cards or without): steady capacity that is not needed.
         self.steady_spare: dict[bool, float] = {}
+        # By pool: what was required lately, as (time, capacity).
+        self.required: dict[bool, deque[tuple[float, float]]] = {False: deque(), True: deque()}
         self.consolidation = Consolidation(self)
 
     # -- what others tell -------------------------------------------------------
--- a/appleshift/coordination/provisioning.py
+++ b/appleshift/coordination/provisioning.py
@@ -95,6 +95,10 @@
         fleet, tables = self.fleet, self.fleet.tables
         steady_kind = tables.types[self.steady]
         required, fixed = self.demand(now)
+        recent = fleet.required[self.gpus]
+        recent.append((now, required))
+        while recent[0][0] < now - fleet.operator.peak_window_s:
+            recent.popleft()
         floor = machines_for(max(fixed, required * fleet.operator.floor_share), 1.0)
         current: list[Market] = []
         others: list[Market] = []
@@ -357,7 +361,10 @@
             total_spare -= units
             leaving.append(machine)
         if not leaving:
-            fleet.steady_spare[self.gpus] = steady_spare
+            # Bursts come back: what one needed a moment ago is not to spare.
+            peak = max((amount for _, amount in fleet.required[self.gpus]), default=required)
+            needed = max(fixed, peak - self._capacity(True))
+            fleet.steady_spare[self.gpus] = self._capacity(False) - needed
         for machine in leaving:
             log.info("returning idle machine %s", machine.name)
         fleet.core.delete(leaving)
--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -30,11 +30,12 @@
     idle_steady_s: float = 60.0
     idle_cards_s: float = 25.0
     idle_spot_s: float = 60.0
-    headroom: float = 1.0
+    headroom: float = 0.6
     warm_window_s: float = 240.0
     refusal_backoff_s: float = 15.0
     boot_patience: float = 2.5
-    consolidate_spare: float = 2.5
+    consolidate_spare: float = 1.5
+    peak_window_s: float = 120.0
     # Leadership.
     leader_lease_s: float = 2.0
     renew_s: float = 0.5
@@ -64,6 +65,7 @@
     "refusal_backoff_s": (0.1, 3600.0),
     "boot_patience": (1.5, 100.0),
     "consolidate_spare": (1.0, 1e6),
+    "peak_window_s": (0.0, 86400.0),
     "leader_lease_s": (0.5, 60.0),
     "renew_s": (0.1, 30.0),
     "pledge_s": (1.0, 60.0),
