--- a/appleshift/bookkeeping/records.py
+++ b/appleshift/bookkeeping/records.py
@@ -92,6 +92,8 @@
         self.tables = tables
         self.groups: Any = None
         self.unsaved_finals: list[tuple[str, int]] = []
+        # All submissions that the log still holds, jobs that are over included.
+        self.arrivals: list[tuple[float, Submission]] = []
         # (job, task) -> (attempt, machine name, session): where a task may be.
         self.places: dict[tuple[int, int], tuple[int, str, int]] = {}
 
@@ -111,6 +113,7 @@
             spec = Submission(**dict(zip(_SPEC_FIELDS, values, strict=True)))
             job = tables.add_job(index, spec, submitted)
             job.accepted = True
+            self.arrivals.append((submitted, spec))
             return
         if kind == TYPES:
             tables.set_types([msgspec.convert(record[1], MachineType)])
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -117,9 +117,9 @@
             run = tables.assign(job, task, attempt, machine, session)
             run.durable = run.pushed = True
             run.mine = False
-        for job in tables.jobs.values():
+        for submitted, spec in sorted(replay.arrivals, key=lambda entry: entry[0]):
             # What arrived under the leader before still says how much comes.
-            self.fleet.arrived(job, self.now - max(0.0, wall - job.submitted))
+            self.fleet.arrived(spec, self.now - max(0.0, wall - submitted))
         for machine in tables.machines.values():
             machine.status = UP
             # Whoever led before us may have answered until we were elected.
@@ -222,7 +222,7 @@
 
         self.journal.append(record, accepted)
         self.reply_durable(slot, 201, users.state_body(spec.id, users.PENDING))
-        self.fleet.arrived(job, self.now)
+        self.fleet.arrived(spec, self.now)
 
     def _takes_writes(self) -> bool:
         return (
--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -14,6 +14,7 @@
 from appleshift.coordination.provisioning import Pool
 from appleshift.protocol import cloud
 from appleshift.protocol.cloud import ListedMachine, MachineType
+from appleshift.protocol.users import Submission
 from appleshift.protocol.workers import Report
 
 if TYPE_CHECKING:
@@ -80,8 +81,7 @@
             self.core.dirty = True
         self.types_at = self.core.now
 
-    def arrived(self, job: Job, at: float) -> None:
-        spec = job.spec
+    def arrived(self, spec: Submission, at: float) -> None:
         if spec.job_class not in self.prompt_classes:
             return
         self.arrivals.append((at, spec.cpus * spec.tasks, spec.gpus * spec.tasks, spec.spot))
