--- a/appleshift/bookkeeping/journal.py
+++ b/appleshift/bookkeeping/journal.py
@@ -71,7 +71,6 @@
     probe: str
     """The key whose presence, with ``mark`` in it, shows that it was applied."""
     mark: str
-    urgent: bool = True
 
 
 @dataclass(slots=True)
@@ -161,9 +160,6 @@
     def backlog(self) -> int:
         return len(self._queue) + len(self._flying or ())
 
-    def idle(self) -> bool:
-        return self._txn is None and not self._queue and not self._chores
-
     def _mark(self) -> str:
         self._serial += 1
         return f"{self.term_mark}.{self._serial}"
@@ -225,7 +221,7 @@
         if chore.probe == META:
             # A copy that arrives late must not bring an older snapshot back.
             guards.append(state.guard(META, self.meta_version))
-        self._txn = Txn(guards, chore.changes, chore.probe, chore.mark, urgent=False)
+        self._txn = Txn(guards, chore.changes, chore.probe, chore.mark)
         return self._txn
 
     # -- what became of it -------------------------------------------------
--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -51,12 +51,10 @@
         "machine",
         "mine",
         "name",
-        "ordered_at",
         "pushed",
         "running_since",
         "session",
         "state",
-        "stop_reason",
         "stopped_at",
         "task",
         "uncertain",
@@ -80,9 +78,7 @@
         # worker has seen this term's token.
         self.mine = True
         self.grace: float | None = None
-        self.stop_reason = ""
         self.stopped_at = 0.0
-        self.ordered_at = 0.0
         self.running_since = 0.0
 
 
@@ -163,14 +159,12 @@
         "free_cpus",
         "free_gpus",
         "free_memory",
-        "group",
         "idle_since",
         "images",
         "index",
         "last_heard",
         "lease_until",
         "listed_at",
-        "missing_since",
         "name",
         "notice_at",
         "probe",
@@ -210,7 +204,6 @@
         self.last_heard = 0.0
         self.lease_until = 0.0
         self.listed_at: float | None = None
-        self.missing_since: float | None = None
         self.rented_at = 0.0
         self.idle_since = 0.0
         self.notice_at: float | None = None
@@ -221,7 +214,6 @@
         self.pushing = False
         self.probe = 0
         self.probing = False
-        self.group = -1
         self.errors: dict[int, float] = {}
         self.failed_until = 0.0
         self.sick = False
@@ -273,10 +265,6 @@
             or (limits.gpus_max > 0 and gpus > limits.gpus_max + EPSILON)
         )
 
-    def borrowing(self) -> bool:
-        limits = self.limits
-        return self.cpus > limits.cpus + EPSILON or self.gpus > limits.gpus + EPSILON
-
 
 class Tables:
     """All that the leader knows, by index."""
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -336,7 +336,7 @@
             self.free([run], exited=False)
             return
         run.grace = grace
-        run.stop_reason = reason
+        log.debug("stopping %s: %s", run.name, reason)
         run.stopped_at = self.now
         self._pushes.add(run.machine.index)
 
@@ -697,8 +697,6 @@
             job, machine = placement.job, placement.machine
             machine.idle_since = 0.0
             runs = [job.runs[task] for task in placement.tasks]
-            for run in runs:
-                run.ordered_at = self.now
 
             def durable(runs: list[Run] = runs, machine: Machine = machine) -> None:
                 for run in runs:
--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -223,7 +223,6 @@
             if machine.listed_at is None:
                 machine.listed_at = now
                 machine.rented_at = min(machine.rented_at, now - row.age_s)
-            machine.missing_since = None
             if row.state == cloud.FAILED and not machine.asked_gone:
                 self.evict(machine)
                 self.give_up(machine, "failed")
--- a/appleshift/coordination/leadership.py
+++ b/appleshift/coordination/leadership.py
@@ -138,6 +138,3 @@
             self.seen_token = token
             self._given = _Pledge(leader, token, seq, until)
             return True
-
-    def pledged_until(self) -> float:
-        return 0.0 if self._given is None else self._given.until
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -143,10 +143,11 @@
         core = self._core
         busy = core is not None and (core.dirty or core.journal.backlog() > 0)
         try:
-            event = self._events.get(timeout=BUSY_WAIT_S if busy else IDLE_WAIT_S)
+            self._handle(self._events.get(timeout=BUSY_WAIT_S if busy else IDLE_WAIT_S))
+            # No event may be taken out without being handled, or a reply or a
+            # commit's outcome is lost for good.
             for _ in range(MAX_BATCH):
-                self._handle(event)
-                event = self._events.get_nowait()
+                self._handle(self._events.get_nowait())
         except queue.Empty:
             pass
         core = self._core
--- a/appleshift/protocol/cloud.py
+++ b/appleshift/protocol/cloud.py
@@ -8,8 +8,6 @@
 
 from appleshift.protocol.wire import decode_as
 
-STARTING = "starting"
-RUNNING = "running"
 FAILED = "failed"
 
 MAX_RENT = 50
--- a/appleshift/protocol/wire.py
+++ b/appleshift/protocol/wire.py
@@ -9,8 +9,6 @@
 MAX_BODY = 64 * 1024
 """Largest request body, and largest answer to a worker or user, in bytes."""
 
-MEDIA_TYPE = "application/msgpack"
-
 T = TypeVar("T")
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -8,6 +8,7 @@
 from appleshift.coordination import core
 from appleshift.coordination.fleet import Fleet
 from appleshift.coordination.leadership import Leadership
+from appleshift.transport.server import Request
 from tests.chaos import heal, outages, unleash
 from tests.standins import Reply
 from tests.world import World
@@ -118,6 +119,23 @@
         world.close()
 
 
+def test_no_event_is_dropped_however_many_wait() -> None:
+    """Once the event after a full batch was taken out and never handled."""
+    world = World(42)
+    world.lossy = 0.0
+    try:
+        world.run(10.0)
+        answers: list[int] = []
+        host = world.leaders()[0]
+        for number in range(300):
+            request = Request("GET", f"/submissions/job-9{number:05d}", b"")
+            world.ask(host, "public", request, lambda status, _: answers.append(status))
+        world.run(20.0)
+        assert answers == [404] * 300
+    finally:
+        world.close()
+
+
 def test_a_defect_in_the_core_costs_a_term_and_not_the_process(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
