--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -99,6 +99,8 @@
         "index",
         "not_before",
         "pending",
+        "ran_count",
+        "ran_s",
         "rank",
         "runs",
         "spec",
@@ -127,6 +129,9 @@
         self.avoid: dict[int, float] = {}
         self.backoff_s = 0.0
         self.not_before = 0.0
+        # Run times of its finished tasks, to compare machines by.
+        self.ran_s = 0.0
+        self.ran_count = 0
         self.team = -1
         self.image = -1
         self.zone = -1
@@ -175,6 +180,8 @@
         "seq",
         "session",
         "sick",
+        "slow_count",
+        "slowness",
         "spot",
         "status",
         "strays",
@@ -217,6 +224,8 @@
         self.errors: dict[int, float] = {}
         self.failed_until = 0.0
         self.sick = False
+        self.slowness = 1.0
+        self.slow_count = 0
 
     def usable(self) -> bool:
         leaving = self.draining or self.cordoned or self.asked_gone
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -505,6 +505,7 @@
             machine.errors.clear()
             if run.running_since:
                 self.tables.ran(run.job, self.now - run.running_since)
+                self.fleet.task_ran(machine, run.job, self.now - run.running_since)
             done.append(run)
             return
         if why == "error":
--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -28,6 +28,10 @@
 MAX_BACKOFF_S = 20.0
 AVOID_S = 20.0
 PAUSE_S = 3.0
+SLOW_PEERS = 3
+SLOW_TASKS = 6
+SLOW_WEIGHT = 0.2
+SLOW_RATIO = 2.0
 
 
 class Fleet:
@@ -157,6 +161,20 @@
             machine.sick = True
             self.core.dirty = True
 
+    def task_ran(self, machine: Machine, job: Job, seconds: float) -> None:
+        """Tell a slow machine from long work: by the same job's tasks elsewhere."""
+        if job.ran_count >= SLOW_PEERS and not machine.sick:
+            ratio = min(10.0, seconds * job.ran_count / max(job.ran_s, 1e-3))
+            machine.slowness += (ratio - machine.slowness) * SLOW_WEIGHT
+            machine.slow_count += 1
+            if machine.slow_count >= SLOW_TASKS and machine.slowness > SLOW_RATIO:
+                log.info("machine %s is %.1f times slower", machine.name, machine.slowness)
+                machine.sick = True
+                self.core.dirty = True
+                return
+        job.ran_s += seconds
+        job.ran_count += 1
+
     def give_up(self, machine: Machine, reason: str) -> None:
         """Delete a machine with whatever is on it; the answer is proof."""
         if machine.asked_gone:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -154,3 +154,19 @@
     bench = Bench(history(["D", 0, [0, 1]], ["E", 0, 1]), settings)
     assert bench.core.tables.jobs == {}
     assert [entry[0] for entry in bench.core.fleet.arrivals] == [100.0 - 10.0]
+
+
+def test_a_slow_machine_is_told_from_long_work() -> None:
+    bench = Bench(history())
+    fleet, tables = bench.core.fleet, bench.core.tables
+    slow, good = tables.machine("m"), tables.add_machine("g", "large", "a", False)
+    assert slow is not None
+    assert good is not None
+    for number in range(1, 9):
+        job = tables.add_job(number, submission(id=f"job-{number:06d}"), 0.0)
+        # Long work is long everywhere; on the slow machine it is three times as long.
+        for _ in range(5):
+            fleet.task_ran(good, job, 10.0 * number)
+        fleet.task_ran(slow, job, 30.0 * number)
+    assert slow.sick
+    assert not good.sick
