--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -27,9 +27,9 @@
     regroup_s: float = 1800.0
     evict_pause_s: float = 20.0
     # Renting and returning.
-    idle_steady_s: float = 60.0
+    idle_steady_s: float = 30.0
     idle_cards_s: float = 25.0
-    idle_spot_s: float = 60.0
+    idle_spot_s: float = 30.0
     headroom: float = 0.6
     warm_window_s: float = 240.0
     refusal_backoff_s: float = 15.0
