--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -31,11 +31,12 @@
     Tables,
     type_fits,
 )
+from appleshift.coordination.aims import Aims
 from appleshift.coordination.effects import Delete, Effect, Push, Reply
 from appleshift.coordination.fleet import Fleet
 from appleshift.coordination.placement import Placer
 from appleshift.coordination.room import stop_grace
-from appleshift.protocol import users, workers
+from appleshift.protocol import cloud, users, workers
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Settings
 from appleshift.protocol.users import Submission
@@ -100,6 +101,8 @@
         self.unsaved_finals = list(replay.unsaved_finals)
         self.worker_lease_s = settings.deployment.workers.lease_s * DRIFT + LEASE_MARGIN_S
         self._pushes: set[int] = set()
+        self.aims = Aims(settings.deployment.objectives)
+        self._doomed: list[str] = []
         self._waiting: dict[int, Any] = {}
         self.is_stalled = False
         self.fleet = Fleet(self, replay.groups)
@@ -508,11 +511,11 @@
             machine.errors.clear()
             if run.running_since:
                 self.tables.ran(run.job, self.now - run.running_since)
-                self.fleet.task_ran(machine, run.job, self.now - run.running_since)
+                self.fleet.health.task_ran(machine, run.job, self.now - run.running_since)
             done.append(run)
             return
         if why == "error":
-            self.fleet.task_failed(machine, run.job)
+            self.fleet.health.task_failed(machine, run.job)
         elif why in ("no_room", "in_use", "unknown"):
             log.info("%s refused %s: %s", machine.name, run.name, why)
             run.job.avoid[machine.index] = self.now + (1.0 if why == "unknown" else 3.0)
@@ -615,7 +618,7 @@
 
     def probed(self, name: str, report: Report | None) -> None:
         """A silent worker answered a probe, or did not."""
-        self.fleet.probed(name, report is not None)
+        self.fleet.health.probed(name, report is not None)
         machine = self.tables.machine(name)
         if machine is not None and report is not None and report.session >= machine.session:
             self._observe(machine, report)
@@ -650,6 +653,8 @@
         gap = PLACE_GAP_S + PLACE_GAP_PER_MACHINE_S * len(self.tables.machines)
         if self.dirty and now - self.placed_at >= gap and self.authority.may_write(now):
             self._place()
+        if self._doomed:
+            self._flush_deletions()
         if self._pushes:
             self._push_orders()
 
@@ -669,7 +674,10 @@
                     self.fleet.give_up(run.machine, "a cancelled task does not end")
                 elif run.machine.last_heard > self.now - 3 * REORDER_S:
                     self._pushes.add(run.machine.index)
-        self.fleet.tick(self.now)
+        if self.authority.may_answer(self.now):
+            # A leader that was cut off knows nothing of its machines: once one
+            # ordered 425 deletions, which arrived when the cut was over.
+            self.fleet.tick(self.now)
         if self.fleet.shortages:
             # Room also comes back with time: pauses and backoffs end.
             self.dirty = True
@@ -696,7 +704,7 @@
             return
         workers_settings = self.settings.deployment.workers
         heard_after = self.now - 2.5 * workers_settings.report_s - 0.5
-        placer = Placer(self.tables, self.now, self.wall, heard_after)
+        placer = Placer(self.tables, self.now, self.wall, heard_after, self.aims)
         result = placer.run(self.operator.preempt)
         for placement in result.placements:
             job, machine = placement.job, placement.machine
@@ -742,8 +750,13 @@
         self.dirty = True
 
     def delete(self, machines: list[Machine]) -> None:
+        """Give machines back; those of one step share a call, for calls are few."""
         for machine in machines:
             machine.asked_gone = True
             machine.delete_at = float("inf")
-        if machines:
-            self.effects.append(Delete(tuple(machine.name for machine in machines)))
+        self._doomed += [machine.name for machine in machines]
+
+    def _flush_deletions(self) -> None:
+        while self._doomed and self.authority.may_answer(self.now):
+            some, self._doomed = self._doomed[: cloud.MAX_DELETE], self._doomed[cloud.MAX_DELETE :]
+            self.effects.append(Delete(tuple(some)))
--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING, Any
 
 from appleshift.bookkeeping import records
-from appleshift.bookkeeping.tables import BOOTING, UP, Job, Machine
+from appleshift.bookkeeping.tables import BOOTING, UP, Machine
 from appleshift.coordination.consolidation import Consolidation
-from appleshift.coordination.effects import Inspect, Rent
+from appleshift.coordination.effects import Rent
+from appleshift.coordination.health import Health
 from appleshift.coordination.placement import Shortage
 from appleshift.coordination.provisioning import Pool
 from appleshift.coordination.room import stop_grace
@@ -25,14 +26,6 @@
 
 REVIEW_GAP_S = 1.0
 SUMMARY_S = 30.0
-ERROR_WINDOW_S = 120.0
-MAX_BACKOFF_S = 20.0
-AVOID_S = 20.0
-PAUSE_S = 3.0
-SLOW_PEERS = 3
-SLOW_TASKS = 6
-SLOW_WEIGHT = 0.2
-SLOW_RATIO = 2.0
 
 
 class Fleet:
@@ -77,6 +70,7 @@
         # By pool: what was required lately, as (time, capacity).
         self.required: dict[bool, deque[tuple[float, float]]] = {False: deque(), True: deque()}
         self.consolidation = Consolidation(self)
+        self.health = Health(self)
 
     # -- what others tell -------------------------------------------------------
 
@@ -140,42 +134,6 @@
                 else:
                     self.core.stop(run, grace, "notice")
 
-    # -- health -------------------------------------------------------------------
-
-    def task_failed(self, machine: Machine, job: Job) -> None:
-        """Tell a faulty machine from a faulty job by who else failed where."""
-        now = self.core.now
-        job.errors_on.add(machine.index)
-        job.avoid[machine.index] = now + AVOID_S
-        machine.failed_until = now + PAUSE_S
-        if len(job.errors_on) >= 2 and not job.done_count:
-            # It failed on several machines: the job is to blame, not they.
-            job.backoff_s = min(MAX_BACKOFF_S, max(1.0, job.backoff_s * 2))
-            job.not_before = now + job.backoff_s
-            for other in self.tables.machines.values():
-                other.errors.pop(job.index, None)
-            return
-        machine.errors[job.index] = now
-        recent = [at for at in machine.errors.values() if at > now - ERROR_WINDOW_S]
-        if len(recent) >= self.operator.sick_jobs and not machine.sick:
-            log.info("machine %s fails tasks of several jobs: set aside", machine.name)
-            machine.sick = True
-            self.core.dirty = True
-
-    def task_ran(self, machine: Machine, job: Job, seconds: float) -> None:
-        """Tell a slow machine from long work: by the same job's tasks elsewhere."""
-        if job.ran_count >= SLOW_PEERS and not machine.sick:
-            ratio = min(10.0, seconds * job.ran_count / max(job.ran_s, 1e-3))
-            machine.slowness += (ratio - machine.slowness) * SLOW_WEIGHT
-            machine.slow_count += 1
-            if machine.slow_count >= SLOW_TASKS and machine.slowness > SLOW_RATIO:
-                log.info("machine %s is %.1f times slower", machine.name, machine.slowness)
-                machine.sick = True
-                self.core.dirty = True
-                return
-        job.ran_s += seconds
-        job.ran_count += 1
-
     def give_up(self, machine: Machine, reason: str) -> None:
         """Delete a machine with whatever is on it; the answer is proof."""
         if machine.asked_gone:
@@ -187,37 +145,6 @@
         if machine.spot and machine.notice_at is not None:
             self.evict(machine)
 
-    def _check_health(self, now: float) -> None:
-        report_s = self.core.settings.deployment.workers.report_s
-        # Reports are a quarter late at most: one that is missing is probed for
-        # at once, and two intervals without any must have passed.
-        probe_s = report_s * 1.4
-        silent_s = max(self.operator.silent_s, 2.2 * report_s)
-        up = [m for m in self.tables.machines.values() if m.status == UP and not m.asked_gone]
-        silent = [m for m in up if now - max(m.last_heard, self.started) > probe_s]
-        # If much of the fleet is silent at once, it is more likely ourselves.
-        ourselves = len(silent) > max(2, len(up) // 2)
-        for machine in silent:
-            quiet = now - max(machine.last_heard, self.started)
-            # After a takeover workers take a while to find the new leader; a
-            # probe does not depend on that, so one more of them will do.
-            probes = 2 if machine.last_heard >= self.started else 3
-            if quiet > silent_s and machine.probe >= probes and not ourselves:
-                self.evict(machine)
-                self.give_up(machine, f"silent for {quiet:.1f} s")
-            elif quiet > self.core.worker_lease_s + silent_s and machine.empty():
-                self.evict(machine)
-                self.give_up(machine, "silent beyond its lease")
-            elif machine.addr and not machine.probing:
-                machine.probing = True
-                self.core.effects.append(Inspect(machine.name, machine.addr))
-
-    def probed(self, name: str, answered: bool) -> None:
-        machine = self.tables.machine(name)
-        if machine is not None:
-            machine.probing = False
-            machine.probe = 0 if answered else machine.probe + 1
-
     # -- the cloud's list -------------------------------------------------------------
 
     def listed(self, rows: list[ListedMachine], asked_at: float) -> None:
@@ -288,7 +215,9 @@
         self.next_review = min(self.next_review, self.core.now)
 
     def gives(self, kind: int, zone: int, spot: bool) -> bool:
-        """This market has not refused lately."""
+        """This market has not refused lately, and what it gives could be heard."""
+        if zone in self.health.dark:
+            return False
         return self.refused.get((kind, zone, spot), (0.0, 0.0))[0] <= self.core.now
 
     def available(self, kind: int, zone: int, spot: bool) -> bool:
@@ -302,7 +231,7 @@
         return self.gives(*market) and not asked
 
     def tick(self, now: float) -> None:
-        self._check_health(now)
+        self.health.check(now)
         for machine in list(self.tables.machines.values()):
             if machine.asked_gone:
                 if machine.delete_at <= now:
--- /dev/null
+++ b/appleshift/coordination/health.py
@@ -0,0 +1,151 @@
+"""Which machines to trust: silent ones, whole zones cut off, faulty and slow ones.
+
+Silence has several causes that call for different answers. A machine that
+died is replaced at once. If a whole zone falls silent, it is cut off: its
+machines most likely still stand, and nothing rented there could be heard. If
+every zone is silent, it is this node that is cut off, and leases decide.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from appleshift.bookkeeping.tables import EXITED, UP, Job, Machine
+from appleshift.coordination.effects import Inspect
+
+if TYPE_CHECKING:
+    from appleshift.coordination.fleet import Fleet
+
+log = logging.getLogger(__name__)
+
+ERROR_WINDOW_S = 120.0
+MAX_BACKOFF_S = 20.0
+AVOID_S = 20.0
+PAUSE_S = 3.0
+SLOW_PEERS = 3
+SLOW_TASKS = 6
+SLOW_WEIGHT = 0.2
+SLOW_RATIO = 2.0
+DARK_LEAST = 3
+"""So few machines of a zone may well fall silent by themselves."""
+DARK_PROBES = 4
+"""Machines of a dark zone that are asked directly whether it is back."""
+DARK_PATIENCE_S = 90.0
+"""Longer than this, machines that cannot be heard are not paid for."""
+
+
+class Health:
+    """Part of the fleet: looks at every machine a few times a second."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._core = fleet.core
+        self._tables = fleet.tables
+        self._started = fleet.core.now
+        # Zones that are cut off, and since when.
+        self.dark: dict[int, float] = {}
+
+    def check(self, now: float) -> None:
+        report_s = self._core.settings.deployment.workers.report_s
+        # Reports are a quarter late at most: one that is missing is probed for
+        # at once, and two intervals without any must have passed.
+        probe_s = report_s * 1.4
+        silent_s = max(self._core.operator.silent_s, 2.2 * report_s)
+        silent: dict[int, list[Machine]] = {}
+        up: dict[int, int] = {}
+        for machine in self._tables.machines.values():
+            if machine.status != UP or machine.asked_gone:
+                continue
+            up[machine.zone] = up.get(machine.zone, 0) + 1
+            if now - max(machine.last_heard, self._started) > probe_s:
+                silent.setdefault(machine.zone, []).append(machine)
+        if not silent:
+            self._mark_dark(set(), now)
+            return
+        quiet_zones = {
+            zone
+            for zone, machines in silent.items()
+            if len(machines) >= DARK_LEAST and len(machines) * 2 > up[zone]
+        }
+        # Nobody answers anywhere: it is ourselves. One zone alone proves nothing.
+        ourselves = bool(quiet_zones) and quiet_zones.issuperset(up)
+        self._mark_dark(set() if ourselves else quiet_zones, now)
+        for zone, machines in silent.items():
+            probes = DARK_PROBES if zone in self.dark else len(machines)
+            for machine in machines:
+                quiet = now - max(machine.last_heard, self._started)
+                if not ourselves and self._is_lost(machine, quiet, silent_s, now):
+                    self._fleet.evict(machine)
+                    self._fleet.give_up(machine, f"silent for {quiet:.1f} s")
+                elif machine.addr and not machine.probing and (probes > 0 or serves(machine)):
+                    probes -= 1
+                    machine.probing = True
+                    self._core.effects.append(Inspect(machine.name, machine.addr))
+
+    def _mark_dark(self, zones: set[int], now: float) -> None:
+        for zone in zones - self.dark.keys():
+            log.info("zone %s is cut off", self._tables.zones.names[zone])
+            self.dark[zone] = now
+        for zone in self.dark.keys() - zones:
+            log.info("zone %s is back", self._tables.zones.names[zone])
+            del self.dark[zone]
+            self._core.dirty = True
+
+    def _is_lost(self, machine: Machine, quiet: float, silent_s: float, now: float) -> bool:
+        """Is its deletion, which proves its tasks gone, better than waiting?"""
+        if machine.zone in self.dark and not serves(machine):
+            # Its tasks are free when its lease is over, and the machine is
+            # there, images and all, once the zone is back.
+            return now - self.dark[machine.zone] > DARK_PATIENCE_S and machine.empty()
+        # After a takeover workers take a while to find the new leader; a
+        # probe does not depend on that, so one more of them will do.
+        probes = 2 if machine.last_heard >= self._started else 3
+        if quiet > silent_s and machine.probe >= probes:
+            return True
+        return quiet > self._core.worker_lease_s + silent_s and machine.empty()
+
+    def probed(self, name: str, answered: bool) -> None:
+        machine = self._tables.machine(name)
+        if machine is not None:
+            machine.probing = False
+            machine.probe = 0 if answered else machine.probe + 1
+
+    def task_failed(self, machine: Machine, job: Job) -> None:
+        """Tell a faulty machine from a faulty job by who else failed where."""
+        now = self._core.now
+        job.errors_on.add(machine.index)
+        job.avoid[machine.index] = now + AVOID_S
+        machine.failed_until = now + PAUSE_S
+        if len(job.errors_on) >= 2 and not job.done_count:
+            # It failed on several machines: the job is to blame, not they.
+            job.backoff_s = min(MAX_BACKOFF_S, max(1.0, job.backoff_s * 2))
+            job.not_before = now + job.backoff_s
+            for other in self._tables.machines.values():
+                other.errors.pop(job.index, None)
+            return
+        machine.errors[job.index] = now
+        recent = [at for at in machine.errors.values() if at > now - ERROR_WINDOW_S]
+        if len(recent) >= self._core.operator.sick_jobs and not machine.sick:
+            log.info("machine %s fails tasks of several jobs: set aside", machine.name)
+            machine.sick = True
+            self._core.dirty = True
+
+    def task_ran(self, machine: Machine, job: Job, seconds: float) -> None:
+        """Tell a slow machine from long work: by the same job's tasks elsewhere."""
+        if job.ran_count >= SLOW_PEERS and not machine.sick:
+            ratio = min(10.0, seconds * job.ran_count / max(job.ran_s, 1e-3))
+            machine.slowness += (ratio - machine.slowness) * SLOW_WEIGHT
+            machine.slow_count += 1
+            if machine.slow_count >= SLOW_TASKS and machine.slowness > SLOW_RATIO:
+                log.info("machine %s is %.1f times slower", machine.name, machine.slowness)
+                machine.sick = True
+                self._core.dirty = True
+                return
+        job.ran_s += seconds
+        job.ran_count += 1
+
+
+def serves(machine: Machine) -> bool:
+    """Replicas on it are missed from the first second on."""
+    return any(run.job.service and run.state != EXITED for run in machine.runs.values())
--- a/appleshift/coordination/outbound.py
+++ b/appleshift/coordination/outbound.py
@@ -87,9 +87,19 @@
 class CloudCalls:
     """The cloud's calls, within its rate: rentals and deletions before lists."""
 
-    def __init__(self, post: Post, client: Caller, routines: Routines, rps: float) -> None:
+    def __init__(
+        self,
+        post: Post,
+        client: Caller,
+        routines: Routines,
+        rps: float,
+        entitled: Callable[[], bool],
+    ) -> None:
         self._post = post
         self._client = client
+        # Asked again right before a call that changes something: it may have
+        # waited for the budget until another node led.
+        self._entitled = entitled
         self._routines = routines
         self._budget = RateBudget(routines, max(0.5, rps * 0.9))
         self._pool = Pool(routines, "cloud-call", 3)
@@ -117,21 +127,24 @@
     def delete(self, effect: Delete, term: Any) -> None:
         self._pool.submit(self._delete, effect, term)
 
-    def _request(
-        self, method: str, path: str, body: Any, timeout: float = 3.0
-    ) -> tuple[int, bytes]:
+    def _get(self, path: str) -> tuple[int, bytes]:
         self._budget.wait()
-        return self._client.request(method, path, None if body is None else encode(body), timeout)
+        return self._client.request("GET", path, None, 3.0)
 
     def _rent(self, effect: Rent, term: Any) -> None:
         names: list[str] | None = None
         refused = False
-        body = cloud.rent_body(effect.request, effect.type, effect.zone, effect.spot, effect.count)
+        body = encode(
+            cloud.rent_body(effect.request, effect.type, effect.zone, effect.spot, effect.count)
+        )
         for attempt in range(RENT_TRIES):
             if self._term is not term or self._stop.wait(0.5 * attempt):
                 break
             try:
-                status, answer = self._request("POST", "/machines", body)
+                self._budget.wait()
+                if not self._entitled():
+                    break
+                status, answer = self._client.request("POST", "/machines", body, 3.0)
                 if status == 200:
                     names = cloud.decode_rented(answer)
                     break
@@ -139,7 +152,7 @@
                     refused = True
                     break
                 if status == 400:
-                    log.error("the cloud calls a rental malformed: %s", body)
+                    log.error("the cloud calls a rental malformed: %s", effect)
                     refused = True
                     break
             except (ClientError, ProtocolError) as error:
@@ -149,10 +162,11 @@
     def _delete(self, effect: Delete, term: Any) -> None:
         ok = False
         try:
-            status, _ = self._request(
-                "POST", "/machines/delete", cloud.delete_body([*effect.machines])
-            )
-            ok = status == 200
+            self._budget.wait()
+            if self._term is term and self._entitled():
+                body = encode(cloud.delete_body([*effect.machines]))
+                status, _ = self._client.request("POST", "/machines/delete", body, 3.0)
+                ok = status == 200
         except ClientError as error:
             log.info("deletion: %s", error)
         self._post("deleted", term, effect.machines, ok)
@@ -170,7 +184,7 @@
                 seen, types_at = term, -1e9
             try:
                 if self._routines.now() - types_at > 20.0:
-                    status, body = self._request("GET", "/machine_types", None)
+                    status, body = self._get("/machine_types")
                     if status == 200:
                         self._post("types", term, cloud.decode_types(body))
                         types_at = self._routines.now()
@@ -184,7 +198,7 @@
         after = ""
         asked_at = self._routines.now()
         while True:
-            status, body = self._request("GET", cloud.list_path(after), None)
+            status, body = self._get(cloud.list_path(after))
             if status != 200:
                 return
             page = cloud.decode_list(body)
--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from appleshift.bookkeeping.tables import EPSILON, OPEN, Job, Machine, Run, Tables
+from appleshift.coordination.aims import Aims
 from appleshift.coordination.preemption import Preemption
 from appleshift.coordination.room import Failures, how_many, zone_room
 
@@ -38,16 +40,19 @@
     victims: list[Run] = field(default_factory=list)
 
 
-def deadline(job: Job) -> float:
-    due = job.spec.deadline_s
-    return float("inf") if due is None else job.submitted + due
-
-
 class Placer:
     """One placement pass over the tables."""
 
-    def __init__(self, tables: Tables, now: float, wall: float, heard_after: float) -> None:
+    def __init__(
+        self,
+        tables: Tables,
+        now: float,
+        wall: float,
+        heard_after: float,
+        aims: Aims | None = None,
+    ) -> None:
         self.tables = tables
+        self.aims = aims or Aims()
         self.now = now
         self.wall = wall
         # Usable machines by (type, zone, spot); a job may use whole such pools.
@@ -62,6 +67,9 @@
                 self.pools.setdefault(key, []).append(machine)
         self.result = Pass()
         self._no_room = Failures()
+        # Machines whose room is kept for a gang that gathers, for this pass.
+        self.kept: set[int] = set()
+        self._gathering: set[tuple[object, ...]] = set()
         self.preemption = Preemption(self)
 
     def order(self) -> list[Job]:
@@ -73,7 +81,7 @@
         ]
         return sorted(jobs, key=self._urgency)
 
-    def _urgency(self, job: Job) -> tuple[int, bool, bool, float, float]:
+    def _urgency(self, job: Job) -> tuple[int, bool, int, float, float]:
         """Within a priority: what can still be in time, and of that the least work.
 
         When there is more work than room, somebody is late whatever the order;
@@ -82,13 +90,13 @@
         spec = job.spec
         borrowed = spec.gpus > 0 and not self.within_guarantee(job)
         if spec.deadline_s is None:
-            return (job.rank, borrowed, False, float("inf"), job.submitted)
+            return (job.rank, borrowed, 0, float("inf"), job.submitted)
         work = len(job.pending) * self.tables.expected_s(job) * max(spec.cpus, spec.gpus)
         return (job.rank, borrowed, self.late(job), work, job.submitted)
 
-    def late(self, job: Job) -> bool:
-        """A task that starts now cannot be expected to end in time."""
-        return deadline(job) < self.wall + self.tables.expected_s(job)
+    def late(self, job: Job) -> int:
+        """How many of its due times a task misses that starts now."""
+        return self.aims.missed(job, self.wall + self.tables.expected_s(job))
 
     def within_guarantee(self, job: Job) -> bool:
         team = self.tables.teams[job.team]
@@ -146,6 +154,7 @@
                 if machine.free_cpus >= cpus
                 and machine.free_gpus >= gpus
                 and machine.free_memory >= memory
+                and machine.index not in self.kept
             ],
         )
 
@@ -160,7 +169,7 @@
             missing = self._place_gang(job) if job.gang else self._place_tasks(job)
             if missing:
                 self.result.shortages.append(Shortage(job, missing))
-                if preempt:
+                if preempt and self.wall - job.submitted >= self.aims.patience_s(job):
                     self.result.victims += self.preemption.victims(job, missing)
         return self.result
 
@@ -248,11 +257,8 @@
         machines = self.candidates(job)
         if not machines and not job.avoid:
             self._no_room.add(self.place_key(job), spec)
-        zones = list(dict.fromkeys(machine.zone for machine in machines))
-        for zone in zones if spec.together else [None]:
-            plan = self._gang_plan(
-                job, [m for m in machines if zone is None or m.zone == zone], left
-            )
+        for some in self._by_zone(job, machines) if spec.together else [machines]:
+            plan = self._gang_plan(job, some, left)
             if plan is None:
                 continue
             attempt = job.attempt + 1
@@ -262,8 +268,47 @@
                 self._assign(job, machine, attempt, tasks[position : position + count])
                 position += count
             return 0
+        self._gather(job, machines, left)
         return left
 
+    def _by_zone(self, job: Job, machines: list[Machine]) -> list[list[Machine]]:
+        """The zone with least room first, so that large gangs find room in another."""
+        zones: dict[int, list[Machine]] = {}
+        for machine in machines:
+            zones.setdefault(machine.zone, []).append(machine)
+        return sorted(
+            zones.values(), key=lambda some: sum(self._how_many(machine, job) for machine in some)
+        )
+
+    def _gather(self, job: Job, machines: list[Machine], left: int) -> None:
+        """Keep what is free for the first gang that does not fit.
+
+        Smaller gangs would take every machine that falls free, and a large one
+        would never find enough at once. Only one gang for each kind of place
+        gathers, in one zone, no more than it needs, and only where it could fit.
+        """
+        key = self.place_key(job)
+        if key in self._gathering or job.spec.spread:
+            return
+        size: Counter[int] = Counter()
+        free: Counter[int] = Counter()
+        for machine in self.allowed(job):
+            kind = self.tables.types[machine.type]
+            size[machine.zone] += how_many(kind.cpus, kind.gpus, kind.memory_gb, job.spec)
+        for machine in machines:
+            free[machine.zone] += self._how_many(machine, job)
+        zones = [zone for zone, most in size.items() if most >= left]
+        if job.spec.together and not zones:
+            return
+        self._gathering.add(key)
+        best = max(zones, key=lambda zone: (free[zone], size[zone]), default=-1)
+        for machine in machines:
+            if left <= 0:
+                break
+            if not job.spec.together or machine.zone == best:
+                self.kept.add(machine.index)
+                left -= self._how_many(machine, job)
+
     def _gang_plan(
         self, job: Job, machines: list[Machine], left: int
     ) -> list[tuple[Machine, int]] | None:
--- a/appleshift/coordination/preemption.py
+++ b/appleshift/coordination/preemption.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from appleshift.bookkeeping.tables import EPSILON, EXITED, ORDERED, Job, Machine, Run
-from appleshift.coordination.room import Failures, stop_grace, zone_room
+from appleshift.coordination.room import Failures, how_many, lost_work, stop_grace, zone_room
 
 if TYPE_CHECKING:
     from appleshift.coordination.placement import Placer
@@ -107,6 +107,8 @@
         failed = self._failed.setdefault(job.rank, Failures())
         if not borrowers and failed.cover(key, job.spec):
             return []
+        if job.gang:
+            return self._gang_victims(job, missing, borrowers)
         rooms = zone_room(self._tables, job)
         useful: list[Machine] = []
         for machine in self._placer.allowed(job):
@@ -155,6 +157,72 @@
                 owed.add(number)
         return owed
 
+    def _gang_victims(self, job: Job, missing: int, borrowers: set[int]) -> list[Run]:
+        """Room for a whole gang, at the least cost; nobody stops for a part of it."""
+        zones: dict[int, list[Machine]] = {}
+        for machine in self._placer.allowed(job):
+            zones.setdefault(machine.zone if job.spec.together else -1, []).append(machine)
+        plans: list[tuple[float, list[Run], list[Machine]]] = []
+        for machines in zones.values():
+            some = self._gang_plan(job, machines, missing, borrowers)
+            if some is not None:
+                plans.append(
+                    (sum(lost_work(run, self._placer.now) for run in some), some, machines)
+                )
+        if not plans:
+            return []
+        _, chosen, machines = min(plans, key=lambda plan: plan[0])
+        for run in chosen:
+            run.grace = stop_grace(run)
+            room = self._room(run.machine)
+            if run in room.runs:
+                room.runs.remove(run)
+                room.stopping = True
+                room.add(run.job)
+        for machine in machines:
+            while missing > 0 and self._room(machine).take(job):
+                missing -= 1
+        return chosen
+
+    def _gang_plan(
+        self, job: Job, machines: list[Machine], missing: int, borrowers: set[int]
+    ) -> list[Run] | None:
+        """Whom to stop so that the whole gang fits on these machines; None: it cannot."""
+        spec = job.spec
+        rooms = {machine.index: replace(self._room(machine), runs=[]) for machine in machines}
+
+        def fits() -> bool:
+            return missing <= sum(
+                how_many(room.cpus, room.gpus, room.memory_gb, spec) for room in rooms.values()
+            )
+
+        if fits():
+            return []
+        # A gang that loses one task stops whole: count all of it, once.
+        groups: dict[tuple[int, int], list[Run]] = {}
+        for machine in machines:
+            for run in self._room(machine).runs:
+                if self._may_stop(job, run, borrowers):
+                    whole = (run.job.index, -1 if run.job.gang else run.task)
+                    groups.setdefault(whole, []).append(run)
+        now = self._placer.now
+
+        def cost(some: list[Run]) -> tuple[int, float]:
+            lost = sum(lost_work(run, now) for run in some[0].job.runs.values())
+            return (-some[0].job.rank, (lost if some[0].job.gang else 0.0) / len(some))
+
+        chosen: list[Run] = []
+        for some in sorted(groups.values(), key=cost):
+            useful = [run for run in some if run.job.spec.gpus > 0 or spec.gpus <= 0]
+            if not useful:
+                continue
+            for run in some:
+                rooms[run.machine.index].add(run.job)
+            chosen += some
+            if fits():
+                return chosen
+        return None
+
     def _make_room(
         self, job: Job, machine: Machine, most: int, borrowers: set[int]
     ) -> tuple[int, list[Run]]:
@@ -162,9 +230,7 @@
         room = self._room(machine)
         able = [run for run in room.runs if self._may_stop(job, run, borrowers)]
         # Of the least urgent work, what is late anyway, then the youngest.
-        able.sort(
-            key=lambda run: (-run.job.rank, not self._placer.late(run.job), -run.running_since)
-        )
+        able.sort(key=lambda run: (-run.job.rank, -self._placer.late(run.job), -run.running_since))
         made = 0
         stopped: list[Run] = []
         while made < most:
--- a/appleshift/coordination/room.py
+++ b/appleshift/coordination/room.py
@@ -33,6 +33,14 @@
     return spec.save_s if spec.checkpoint_s > 0 else 0.0
 
 
+def lost_work(run: Run, now: float) -> float:
+    """Run time that a stop wastes: what could not be saved, and the stopping."""
+    spec = run.job.spec
+    if spec.checkpoint_s > 0:
+        return spec.save_s
+    return max(0.0, now - run.running_since) if run.running_since else 0.0
+
+
 class Failures:
     """Needs that found no room in this pass, by where the work may go.
 
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -83,6 +83,7 @@
             connect(split_address(settings.external.cloud)),
             routines,
             deployment.cloud.rps,
+            entitled=lambda: self.leadership.may_answer(routines.now()),
         )
         self._connections = connections
         self._listeners: list[Listener] = []
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from appleshift.bookkeeping.tables import RUNNING, Run, Tables
+from appleshift.coordination.aims import Aims
 from appleshift.coordination.placement import Pass, Placer
-from appleshift.protocol.settings import TeamLimits
+from appleshift.protocol.settings import Objective, TeamLimits
 from tests.make import job, machine, tables
 
 
@@ -108,3 +109,67 @@
     for _ in range(200):
         made.ran(hopeless, 90.0)
     assert place(made).placements[0].job is other
+
+
+def test_small_gangs_do_not_starve_a_large_one() -> None:
+    made = tables([("cards", "a", False)] * 3 + [("cards", "b", False)] * 2)
+    whole = {"shape": "ensemble", "gpus": 4.0, "together": True}
+    for number in (1, 2, 3, 4):
+        machine(made, f"m{number}").free_gpus = 0.0
+    large = job(made, tasks=3, **whole)
+    job(made, tasks=1, **whole)
+    # The only free machine is kept for the gang that can only fit where it is.
+    assert place(made).placements == []
+    machine(made, "m3").free_gpus = 4.0
+    # In the other zone the large one could never fit: nothing is kept there.
+    assert where(place(made)) == [("m3", [0])]
+    machine(made, "m1").free_gpus = machine(made, "m2").free_gpus = 4.0
+    assert [placement.job for placement in place(made).placements] == [large] * 3
+
+
+def test_a_gang_goes_where_least_room_is_left_over() -> None:
+    made = tables([("cards", "a", False)] * 3 + [("cards", "b", False)])
+    job(made, shape="ensemble", gpus=4.0, together=True)
+    assert where(place(made)) == [("m3", [0])]
+
+
+def test_whole_gangs_are_stopped_at_the_least_cost_or_nobody() -> None:
+    limits = {
+        "red": TeamLimits("red", gpus=12.0, gpus_max=12.0),
+        "blue": TeamLimits("blue", gpus=0.0, gpus_max=40.0),
+    }
+    made = tables([("cards", "a", False)] * 2 + [("cards", "b", False)] * 2, **limits)
+    whole = {"shape": "ensemble", "gpus": 4.0, "together": True}
+    old = job(made, team="blue", tasks=2, **whole)
+    place(made)
+    young = job(made, team="blue", tasks=2, **whole)
+    place(made)
+    for run in old.runs.values():
+        running(run, since=0.1)
+    for run in young.runs.values():
+        running(run, since=0.9)
+    job(made, team="red", tasks=3, **whole)
+    assert place(made, preempt=True).victims == [], "three fit in no zone"
+    job(made, team="red", tasks=2, **whole)
+    assert {run.job.index for run in place(made, preempt=True).victims} == {young.index}
+
+
+def test_new_work_waits_a_moment_for_room_before_others_are_stopped() -> None:
+    made = tables([("small", "a", False)])
+    low = job(made, priority="low", cpus=4.0)
+    place(made)
+    running(low.runs[0], since=0.0)
+    aims = Aims([Objective("wait", 0.9, "c", 2.0)])
+    job(made, priority="high")
+    assert Placer(made, 0.2, 0.2, -1.0, aims).run(True).victims == []
+    assert Placer(made, 0.6, 0.6, -1.0, aims).run(True).victims == [low.runs[0]]
+
+
+def test_work_that_can_still_make_a_later_due_time_is_not_given_up() -> None:
+    made = tables([("small", "a", False)])
+    aims = Aims([Objective("deadline", 0.9, "c", times=factor) for factor in (1.0, 2.0)])
+    job(made, cpus=4.0, deadline_s=10.0)
+    second = job(made, cpus=4.0, deadline_s=20.0, tasks=2)
+    # At 25 the first has missed both of its due times, the second only one.
+    result = Placer(made, 25.0, 25.0, -1.0, aims).run(False)
+    assert result.placements[0].job is second
