--- a/appleshift/bookkeeping/store.py
+++ b/appleshift/bookkeeping/store.py
@@ -39,7 +39,7 @@
 
     def __init__(self, client: Caller, rps: float, routines: Routines) -> None:
         self._client = client
-        self._budget = RateBudget(routines, max(1.0, rps * 0.3))
+        self._budget = RateBudget(routines, max(1.0, rps))
 
     def _call(self, method: str, path: str, body: Any, timeout: float) -> tuple[int, bytes]:
         self._budget.wait()
--- a/appleshift/coordination/aims.py
+++ b/appleshift/coordination/aims.py
@@ -10,6 +10,9 @@
 PATIENCE_SHARE = 0.25
 """Of the wait that the users accept, this much may pass before others are stopped."""
 MOST_PATIENCE_S = 2.0
+GATHER_SHARE = 0.5
+GATHER_S = 60.0
+"""When a gang begins to gather if nobody said how long it may wait."""
 
 
 class Aims:
@@ -39,6 +42,18 @@
         within = self._waits.get(job.spec.job_class)
         return 0.0 if within is None else min(MOST_PATIENCE_S, PATIENCE_SHARE * within)
 
+    def gathers(self, job: Job, age: float) -> bool:
+        """Should a gang that fits nowhere keep the machines that fall free?
+
+        Each machine kept makes smaller gangs wait, so a gang gathers only once
+        it would otherwise start late. One that is late anyway lets those go
+        first that are not, until it has waited so long again.
+        """
+        within = self._waits.get(job.spec.job_class)
+        if within is None:
+            return age >= GATHER_S
+        return GATHER_SHARE * within <= age < within or age >= 2 * within
+
     def missed(self, job: Job, end: float) -> int:
         """How many of its due times a job misses that ends then.
 
--- a/appleshift/coordination/desk.py
+++ b/appleshift/coordination/desk.py
@@ -66,7 +66,12 @@
             return self._pledge(request.body)
         if request.path == peers.HELLO_PATH and request.method == "GET":
             leadership = self._leadership
-            hello = peers.Hello(self._election.name, leadership.leading, leadership.token)
+            hello = peers.Hello(
+                self._election.name,
+                leadership.leading,
+                leadership.token,
+                leadership.may_answer(self._routines.now()),
+            )
             return respond(200, hello)
         return self._guarded(request, forwarded=True)
 
@@ -86,7 +91,7 @@
         if path == "/agent/beat":
             return self._only(method, "POST") or self._beat(request.body)
         if path == "/ready":
-            return self._only(method, "GET") or respond(200, {"ready": True})
+            return self._only(method, "GET") or self._ready()
         if path == "/nodes":
             return self._only(method, "GET") or self._nodes()
         if path == JOBS:
@@ -109,11 +114,26 @@
         response.headers["Allow"] = allowed
         return response
 
+    def _entitled(self) -> bool:
+        return self._leadership.may_answer(self._routines.now())
+
+    def _elsewhere(self) -> bool:
+        """Only the leader answers. One whose lease lapsed sends users on to its
+        successor; while there is none, its core still knows what is final."""
+        if not self._leadership.leading:
+            return True
+        leader = self._election.current_leader()
+        return not self._entitled() and leader not in (None, self._election.name)
+
+    def _ready(self) -> Response:
+        ready = self._election.serves()
+        return respond(200 if ready else 503, {"ready": ready})
+
     # -- requests ----------------------------------------------------------------
 
     def _submit(self, request: Request, forwarded: bool) -> Response:
         spec = users.decode_submission(request.body)
-        if not self._leadership.leading:
+        if self._elsewhere():
             return self._forward(request, forwarded, hold=False)
         return self._ask("submit", spec)
 
@@ -121,15 +141,16 @@
         if not users.valid_id(job_id):
             # Users also ask about jobs that nobody can have submitted.
             return respond(404, users.error_body("no such job"))
-        if not self._leadership.leading:
+        if self._elsewhere():
             return self._forward(request, forwarded, hold=kind == "status")
         return self._ask(kind, job_id)
 
     def _beat(self, body: bytes) -> Response:
-        if not self._leadership.leading:
+        if self._elsewhere():
             # A malformed report is refused by every node alike.
             workers.decode_report(body)
-            return respond(421, workers.redirect(self._election.leader))
+            leader = self._election.current_leader()
+            return respond(421, workers.redirect(None if leader == self._election.name else leader))
         return self._ask("report", workers.decode_report(body))
 
     def _ask(self, kind: str, what: Any) -> Response:
@@ -151,8 +172,8 @@
             return unavailable()
         until = self._routines.now() + HOLD_S
         while True:
-            leader = self._election.leader
-            if leader == self._election.name and self._leadership.leading:
+            leader = self._election.current_leader()
+            if leader == self._election.name and self._entitled():
                 return self._route(request, forwarded=True)
             client = self._siblings.get(leader) if leader else None
             if client is not None:
@@ -189,6 +210,10 @@
             request = peers.decode_pledge(body)
         except ProtocolError as error:
             return respond(400, users.error_body(error.reason))
+        if request.for_s > 0 and self._election.state_answers():
+            # Only the asker is refused: its lease runs out, and a node that can
+            # write is to lead. A promise would keep everybody from it.
+            return respond(409, {"given": False})
         given = self._leadership.give_pledge(
             request.leader, request.token, request.seq, request.for_s, self._routines.now()
         )
--- a/appleshift/coordination/election.py
+++ b/appleshift/coordination/election.py
@@ -20,6 +20,11 @@
 TOKEN_KEY = "token"
 WATCH_S = 5.0
 PLEDGE_GAP_S = 0.5
+HELLO_GAP_S = 0.8
+HEARD_S = 2.5
+"""What a sibling said of itself holds for this long: a few of its rounds, and
+longer than a crashed leader's key outlives it."""
+CHECK_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +60,9 @@
         self._on_won = on_won
         self._on_lost = on_lost
         self._mark = mark
+        # What siblings said of themselves: when, whether entitled, their token.
+        self._heard: dict[str, tuple[float, bool, int]] = {}
+        self._leader_since = routines.now()
         self._attempt = 0
         self._lease = 0
         self._stale_lease: int | None = None
@@ -81,6 +89,43 @@
         """A guarded write failed: somebody else leads, or nobody does."""
         self._deposed.set()
 
+    # -- what others may ask ------------------------------------------------------
+
+    def current_leader(self) -> str | None:
+        """Who leads, by what siblings say of themselves, else by the leader key.
+
+        A node that the state service alone refuses cannot read the key, and its
+        watch stays silent; the siblings still tell it where to send users.
+        """
+        now = self._now()
+        claims = [
+            (token, name)
+            for name, (at, entitled, token) in list(self._heard.items())
+            if entitled and now - at < HEARD_S
+        ]
+        return max(claims)[1] if claims else self.leader
+
+    def serves(self) -> bool:
+        """Can this node answer users, itself or by asking the leader?
+
+        While nobody leads it can as well as any other. If somebody does and
+        cannot be reached from here, users are better off at another node.
+        """
+        now = self._now()
+        leader = self.current_leader()
+        if leader is None or self.leadership.may_answer(now) or leader == self.name:
+            return True
+        at = self._heard.get(leader, (self._leader_since, False, 0))[0]
+        return now - max(at, self._leader_since) < HEARD_S
+
+    def state_answers(self) -> bool:
+        """Does the state service answer this node right now?"""
+        try:
+            self.store.get(LEADER_KEY, CHECK_S)
+        except (StoreError, ProtocolError):
+            return False
+        return True
+
     # -- the election routine ----------------------------------------------------
 
     def _run(self) -> None:
@@ -92,6 +137,9 @@
                     self._follow()
             except StoreError as error:
                 log.debug("state service: %s", error)
+                if not self.leadership.leading and self.leader is not None:
+                    # What the key said may be over; siblings say what is.
+                    self.leader = None
                 self._stop.wait(0.2)
             except ProtocolError as error:
                 log.error("unreadable record in the state service: %s", error.reason)
@@ -107,7 +155,9 @@
                 self._stop.wait(0.15)
             return
         value = item.value if isinstance(item.value, dict) else {}
-        self.leader = str(value.get("name", ""))
+        leader = str(value.get("name", ""))
+        if leader != self.leader:
+            self.leader, self._leader_since = leader, self._now()
         if self.leader == self.name:
             # Left by an attempt of ours or by this node before its restart.
             self.leader = None
@@ -208,17 +258,24 @@
     # -- one routine for each sibling ------------------------------------------------
 
     def _hello(self, sibling: str) -> None:
-        """After a start, ask whether somebody leads: if nobody does, no promise binds."""
+        """Ask again and again whether that sibling leads.
+
+        After a start this says whether a promise made before it may still bind;
+        later it says where to send users and workers.
+        """
         client = self.siblings[sibling]
-        while not self._stop.is_set() and not self.leadership.cleared(self._now()):
+        while not self._stop.is_set():
+            cleared = self.leadership.cleared(self._now())
             try:
                 status, body = client.request("GET", peers.HELLO_PATH, None, 0.5)
-                if status == 200 and not peers.decode_hello(body).leading:
-                    self.leadership.sibling_cleared(sibling)
-                    return
+                if status == 200:
+                    hello = peers.decode_hello(body)
+                    self._heard[sibling] = (self._now(), hello.entitled, hello.token)
+                    if not hello.leading:
+                        self.leadership.sibling_cleared(sibling)
             except (ClientError, ProtocolError) as error:
                 log.debug("hello to %s: %s", sibling, error)
-            self._stop.wait(0.3)
+            self._stop.wait(HELLO_GAP_S if cleared else 0.3)
 
     def _pledges(self, sibling: str) -> None:
         client = self.siblings[sibling]
--- a/appleshift/coordination/outbound.py
+++ b/appleshift/coordination/outbound.py
@@ -93,6 +93,7 @@
         client: Caller,
         routines: Routines,
         rps: float,
+        list_lag_s: float,
         entitled: Callable[[], bool],
     ) -> None:
         self._post = post
@@ -103,7 +104,10 @@
         self._routines = routines
         self._budget = RateBudget(routines, max(0.5, rps * 0.9))
         self._pool = Pool(routines, "cloud-call", 3)
-        self._list_gap_s = max(1.0, 4.0 / rps)
+        # A list may not take more than a quarter of the calls, page by page, and
+        # asking much more often than it changes shows nothing new.
+        self._page_gap_s = 4.0 / rps
+        self._list_gap_s = max(1.0, list_lag_s / 3)
         self._stop = routines.flag()
         self._wake = routines.flag()
         self._term: Any = None
@@ -182,31 +186,36 @@
                 continue
             if term is not seen:
                 seen, types_at = term, -1e9
+            pages = 1
             try:
                 if self._routines.now() - types_at > 20.0:
                     status, body = self._get("/machine_types")
                     if status == 200:
                         self._post("types", term, cloud.decode_types(body))
                         types_at = self._routines.now()
-                self._list(term)
+                pages = self._list(term)
             except (ClientError, ProtocolError) as error:
                 log.info("cloud: %s", error)
-            self._stop.wait(self._list_gap_s)
+            self._stop.wait(max(self._list_gap_s, pages * self._page_gap_s))
 
-    def _list(self, term: Any) -> None:
+    def _list(self, term: Any) -> int:
+        """Read the whole list; returns how many pages it took."""
         rows: list[cloud.ListedMachine] = []
+        pages = 0
         after = ""
         asked_at = self._routines.now()
         while True:
             status, body = self._get(cloud.list_path(after))
+            pages += 1
             if status != 200:
-                return
+                return pages
             page = cloud.decode_list(body)
             rows += page.machines
             if not page.more or not page.machines:
                 break
             after = page.machines[-1].name
         self._post("listed", term, rows, asked_at)
+        return pages
 
 
 def _is_capacity(answer: bytes) -> bool:
--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -290,6 +290,8 @@
         key = self.place_key(job)
         if key in self._gathering or job.spec.spread:
             return
+        if not self.aims.gathers(job, self.wall - job.submitted):
+            return
         size: Counter[int] = Counter()
         free: Counter[int] = Counter()
         for machine in self.allowed(job):
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -56,8 +56,10 @@
             sibling.name: connect(split_address(sibling.peer_addr)) for sibling in settings.siblings
         }
         self.leadership = Leadership(list(siblings), operator.pledge_s, routines.now())
+        # All nodes share the rate; so does whoever else leads or stands by mistake.
+        share = 0.9 / max(3, len(siblings) + 1)
         self.store = Store(
-            connect(split_address(settings.external.state)), deployment.state.rps, routines
+            connect(split_address(settings.external.state)), deployment.state.rps * share, routines
         )
         self.election = Election(
             settings.name,
@@ -83,6 +85,7 @@
             connect(split_address(settings.external.cloud)),
             routines,
             deployment.cloud.rps,
+            deployment.cloud.list_lag_s,
             entitled=lambda: self.leadership.may_answer(routines.now()),
         )
         self._connections = connections
--- a/appleshift/protocol/peers.py
+++ b/appleshift/protocol/peers.py
@@ -25,6 +25,8 @@
     name: str
     leading: bool
     token: int
+    entitled: bool = False
+    """It may answer for the controllers right now."""
 
 
 _pledge = msgspec.msgpack.Decoder(PledgeRequest)
