--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -32,6 +32,8 @@
 EPSILON = 1e-6
 RATIO_WEIGHT = 0.02
 """Weight of one finished task in its class's correction of estimates."""
+OWN_WEIGHT = 3.0
+"""How many finished tasks of a job weigh as much as what its owner and class say."""
 
 
 class Run:
@@ -299,6 +301,8 @@
         self.gone: set[str] = set()
         # By class of jobs: how long tasks ran, measured in their estimates.
         self.run_ratios: dict[str, float] = {}
+        # The most CPUs and memory that work with cards took for one card.
+        self.card_needs: tuple[float, float] | None = None
 
     def set_types(self, types: list[MachineType]) -> bool:
         """Take in prices; true if anything but a price is new."""
@@ -324,6 +328,12 @@
         job.zone = -1 if spec.zone is None else self.zones.add(spec.zone)
         self.jobs[index] = job
         self.job_by_id[spec.id] = job
+        if spec.gpus > 0:
+            cpus, memory = self.card_needs or (0.0, 0.0)
+            self.card_needs = (
+                max(cpus, spec.cpus / spec.gpus),
+                max(memory, spec.memory_gb / spec.gpus),
+            )
         self.next_job = max(self.next_job, index + 1)
         return job
 
@@ -394,9 +404,23 @@
         known = self.run_ratios.get(job.spec.job_class, 1.0)
         self.run_ratios[job.spec.job_class] = known + (ratio - known) * RATIO_WEIGHT
 
+    def beside_cards(self, kind: int) -> tuple[float, float]:
+        """CPUs and memory of a type that work with cards will not need."""
+        spec = self.types[kind]
+        if self.card_needs is None:
+            return 0.0, 0.0
+        cpus, memory = self.card_needs
+        return spec.cpus - cpus * spec.gpus, spec.memory_gb - memory * spec.gpus
+
     def expected_s(self, job: Job) -> float:
-        """A task's run time: the owner's estimate, corrected by what was seen."""
-        return job.spec.estimate_s * self.run_ratios.get(job.spec.job_class, 1.0)
+        """A task's run time: the owner's estimate, corrected by what was seen.
+
+        First of its class, then of the job itself, whose tasks are more alike.
+        """
+        known = job.spec.estimate_s * self.run_ratios.get(job.spec.job_class, 1.0)
+        weight = job.ran_count / (job.ran_count + OWN_WEIGHT)
+        mean = job.ran_s / job.ran_count if job.ran_count else 0.0
+        return known + (mean - known) * weight
 
     def retire(self, job: Job) -> None:
         """Shrink an ended job to its final state."""
--- a/appleshift/coordination/aims.py
+++ b/appleshift/coordination/aims.py
@@ -19,17 +19,23 @@
     """Looked up by class, since that is how objectives are given."""
 
     def __init__(self, objectives: Sequence[Objective] = ()) -> None:
-        self._waits: dict[str, float] = {}
+        self._waits: dict[str, list[float]] = {}
+        self._ends: dict[str, list[float]] = {}
         self._times: dict[str, list[float]] = {}
         for objective in objectives:
             if objective.job_class is None:
                 continue
             if objective.kind == "wait":
-                known = self._waits.get(objective.job_class, float("inf"))
-                self._waits[objective.job_class] = min(known, objective.within_s)
+                self._waits.setdefault(objective.job_class, []).append(objective.within_s)
+            elif objective.kind == "finished":
+                self._ends.setdefault(objective.job_class, []).append(objective.within_s)
             elif objective.kind == "deadline":
                 self._times.setdefault(objective.job_class, []).append(objective.times)
 
+    def wait_s(self, job_class: str) -> float | None:
+        """How soon tasks of a class are to start; None: nobody said."""
+        return min(self._waits.get(job_class, ()), default=None)
+
     def patience_s(self, job: Job) -> float:
         """How long new work waits for room that comes by itself.
 
@@ -39,7 +45,7 @@
         """
         if job.service and job.attempt > 0:
             return 0.0
-        within = self._waits.get(job.spec.job_class)
+        within = self.wait_s(job.spec.job_class)
         return 0.0 if within is None else min(MOST_PATIENCE_S, PATIENCE_SHARE * within)
 
     def gathers(self, job: Job, age: float) -> bool:
@@ -49,19 +55,22 @@
         it would otherwise start late. One that is late anyway lets those go
         first that are not, until it has waited so long again.
         """
-        within = self._waits.get(job.spec.job_class)
+        within = self.wait_s(job.spec.job_class)
         if within is None:
             return age >= GATHER_S
         return GATHER_SHARE * within <= age < within or age >= 2 * within
 
-    def missed(self, job: Job, end: float) -> int:
-        """How many of its due times a job misses that ends then.
+    def missed(self, job: Job, now: float, end: float) -> int:
+        """How many of its aims a job has missed, or will if its work ends then.
 
         Some classes are to be done by their deadline and, if not, at least by
         some multiple of it; past the last, more delay costs nothing.
         """
-        due = job.spec.deadline_s
-        if due is None:
-            return 0
-        times = self._times.get(job.spec.job_class) or [1.0]
-        return sum(1 for factor in times if job.submitted + due * factor < end)
+        name, due = job.spec.job_class, job.spec.deadline_s
+        missed = sum(1 for within in self._ends.get(name, ()) if end - job.submitted > within)
+        if job.attempt == 0:
+            missed += sum(1 for within in self._waits.get(name, ()) if now - job.submitted > within)
+        if due is not None:
+            times = self._times.get(name) or [1.0]
+            missed += sum(1 for factor in times if job.submitted + due * factor < end)
+        return missed
--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from appleshift.bookkeeping.tables import EPSILON, OPEN, Job, Machine, Run, Tables
@@ -70,6 +70,9 @@
         # Machines whose room is kept for a gang that gathers, for this pass.
         self.kept: set[int] = set()
         self._gathering: set[tuple[object, ...]] = set()
+        # Tasks of waiting gangs that can still be in time.
+        self._gang_tasks = 0
+        self._beside: dict[int, tuple[float, float]] = {}
         self.preemption = Preemption(self)
 
     def order(self) -> list[Job]:
@@ -79,6 +82,9 @@
             for job in self.tables.jobs.values()
             if job.pending and job.status == OPEN and job.accepted and job.not_before <= self.now
         ]
+        self._gang_tasks = sum(
+            len(job.pending) for job in jobs if job.gang and not job.runs and not self.late(job)
+        )
         return sorted(jobs, key=self._urgency)
 
     def _urgency(self, job: Job) -> tuple[int, bool, int, float, float]:
@@ -89,14 +95,26 @@
         """
         spec = job.spec
         borrowed = spec.gpus > 0 and not self.within_guarantee(job)
-        if spec.deadline_s is None:
-            return (job.rank, borrowed, 0, float("inf"), job.submitted)
+        if job.service:
+            return (job.rank, borrowed, 0, 0.0, job.submitted)
         work = len(job.pending) * self.tables.expected_s(job) * max(spec.cpus, spec.gpus)
+        if job.gang and self._gathers(job):
+            work = 0.0
         return (job.rank, borrowed, self.late(job), work, job.submitted)
 
+    def _gathers(self, job: Job) -> bool:
+        """Is it this gang's turn to keep the machines that fall free?"""
+        if not self.aims.gathers(job, self.wall - job.submitted):
+            return False
+        # With more work than room, what is kept for one makes several late.
+        others = self._gang_tasks - (0 if self.late(job) else len(job.pending))
+        return others < len(job.pending)
+
     def late(self, job: Job) -> int:
-        """How many of its due times a task misses that starts now."""
-        return self.aims.missed(job, self.wall + self.tables.expected_s(job))
+        """How many of its aims a job misses of which a task starts now."""
+        if job.service:
+            return 0
+        return self.aims.missed(job, self.wall, self.wall + self.tables.expected_s(job))
 
     def within_guarantee(self, job: Job) -> bool:
         team = self.tables.teams[job.team]
@@ -114,8 +132,12 @@
         cards = spec.gpus > 0 or spec.types is not None
         return (tuple(self.tables.types_for(job)), job.zone, spec.spot, cards)
 
-    def allowed(self, job: Job) -> Iterator[Machine]:
-        """Machines that the job may use, whether they have room or not."""
+    def allowed(self, job: Job, cards: bool = False) -> Iterator[Machine]:
+        """Machines that the job may use, whether they have room or not.
+
+        Cards are dear, and work without them would block them: such work gets
+        machines with cards only if it asks for the type, or with ``cards``.
+        """
         spec = job.spec
         type_ok = self.tables.types_for(job)
         for (kind, zone, spot), machines in self.pools.items():
@@ -123,8 +145,11 @@
                 continue
             if job.zone >= 0 and zone != job.zone:
                 continue
-            if self.tables.types[kind].gpus > 0 and spec.gpus <= 0 and spec.types is None:
-                # Cards are dear; work without them would block them.
+            if (
+                spec.gpus <= 0
+                and spec.types is None
+                and cards != (self.tables.types[kind].gpus > 0)
+            ):
                 continue
             for machine in machines:
                 if not job.avoid or job.avoid.get(machine.index, 0.0) <= self.now:
@@ -177,6 +202,12 @@
         for task in tasks:
             self.tables.assign(job, task, attempt, machine, machine.session)
         self.preemption.placed(job, machine, len(tasks))
+        used = self._beside.get(machine.index)
+        if used is not None and job.spec.gpus <= 0:
+            self._beside[machine.index] = (
+                used[0] + job.spec.cpus * len(tasks),
+                used[1] + job.spec.memory_gb * len(tasks),
+            )
         self.result.placements.append(Placement(job, machine, attempt, tasks))
 
     def _place_tasks(self, job: Job) -> int:
@@ -186,26 +217,74 @@
         if not team.room_for(spec.cpus, spec.gpus):
             # What ends will make room within the limit; no machine could.
             return 0
-        if self.hopeless(job):
-            return len(job.pending)
-        machines = self.candidates(job)
-        if not machines:
-            if not job.avoid:
-                self._no_room.add(self.place_key(job), spec)
+        hopeless = self.hopeless(job)
+        machines = [] if hopeless else self.candidates(job)
+        if not machines and not hopeless and not job.avoid:
+            self._no_room.add(self.place_key(job), spec)
+        beside = self._beside_cards(job)
+        if not machines and not beside:
             return len(job.pending)
         waiting = sorted(job.pending)
         position = 0
         while position < len(waiting):
-            placed = self._round(job, machines, waiting[position:])
+            placed = self._round(job, machines, waiting[position:], self._how_many)
             position += placed
             if not placed or not job.service:
                 break
+        if position < len(waiting) and beside:
+            position += self._round(job, beside, waiting[position:], self._room_beside)
         missing = len(waiting) - position
         if missing and not team.room_for(spec.cpus, spec.gpus):
             return 0
         return missing
 
-    def _round(self, job: Job, machines: list[Machine], waiting: list[int]) -> int:
+    def _beside_cards(self, job: Job) -> list[Machine]:
+        """Machines whose cards are in use and leave room that no cards will need.
+
+        Only for work that ends: a replica would keep a dear machine for good.
+        """
+        spec = job.spec
+        if spec.gpus > 0 or job.gang or job.service or spec.spread or spec.together:
+            return []
+        if spec.types is not None or not self.tables.card_needs:
+            return []
+        return self.first_fit(
+            job,
+            [
+                machine
+                for machine in self.allowed(job, cards=True)
+                if self._room_beside(machine, job) > 0
+            ],
+        )
+
+    def _room_beside(self, machine: Machine, job: Job) -> int:
+        kind = self.tables.types[machine.type]
+        if machine.free_gpus + EPSILON >= kind.gpus:
+            return 0
+        used = self._beside.get(machine.index)
+        if used is None:
+            here = [
+                run.job.spec
+                for run in machine.runs.values()
+                if run.job.spec.gpus <= 0 and run.job.runs.get(run.task) is run
+            ]
+            used = (sum(spec.cpus for spec in here), sum(spec.memory_gb for spec in here))
+            self._beside[machine.index] = used
+        cpus, memory = self.tables.beside_cards(machine.type)
+        return how_many(
+            min(machine.free_cpus, cpus - used[0]),
+            0.0,
+            min(machine.free_memory, memory - used[1]),
+            job.spec,
+        )
+
+    def _round(
+        self,
+        job: Job,
+        machines: list[Machine],
+        waiting: list[int],
+        fit: Callable[[Machine, Job], int],
+    ) -> int:
         """Go over the machines once; returns how many tasks found room."""
         spec = job.spec
         team = self.tables.teams[job.team]
@@ -222,7 +301,7 @@
                 break
             if spec.together and zone >= 0 and machine.zone != zone:
                 continue
-            most = self._how_many(machine, job)
+            most = fit(machine, job)
             if job.service:
                 # Replicas go to different machines where there is a choice.
                 most = min(most, 1)
@@ -290,7 +369,7 @@
         key = self.place_key(job)
         if key in self._gathering or job.spec.spread:
             return
-        if not self.aims.gathers(job, self.wall - job.submitted):
+        if not self._gathers(job):
             return
         size: Counter[int] = Counter()
         free: Counter[int] = Counter()
--- a/appleshift/coordination/preemption.py
+++ b/appleshift/coordination/preemption.py
@@ -229,8 +229,9 @@
         """Room for up to ``most`` tasks on one machine, and who stops for it."""
         room = self._room(machine)
         able = [run for run in room.runs if self._may_stop(job, run, borrowers)]
-        # Of the least urgent work, what is late anyway, then the youngest.
-        able.sort(key=lambda run: (-run.job.rank, -self._placer.late(run.job), -run.running_since))
+        # Of the least urgent work, what loses least; if equal, what is late anyway.
+        now, late = self._placer.now, self._placer.late
+        able.sort(key=lambda run: (-run.job.rank, lost_work(run, now), -late(run.job)))
         made = 0
         stopped: list[Run] = []
         while made < most:
