--- a/appleshift/coordination/election.py
+++ b/appleshift/coordination/election.py
@@ -20,8 +20,8 @@
 TOKEN_KEY = "token"
 WATCH_S = 5.0
 PLEDGE_GAP_S = 0.5
-HELLO_GAP_S = 0.8
-HEARD_S = 2.5
+HELLO_GAP_S = 0.6
+HEARD_S = 2.0
 """What a sibling said of itself holds for this long: a few of its rounds, and
 longer than a crashed leader's key outlives it."""
 CHECK_S = 0.4
--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -55,14 +55,9 @@
         self.evicted: dict[tuple[int, int], float] = {}
         self._written_groups: list[str] = self.group_table()
         self._groups_at = 0.0
-        # Classes whose tasks are to start soon: for these, room is kept.
-        self.prompt_classes = {
-            objective.job_class
-            for objective in core.settings.deployment.objectives
-            if objective.kind == "wait"
-        }
-        # What arrived of them lately: time, CPUs, GPUs, and whether it may use spot.
-        self.arrivals: deque[tuple[float, float, float, bool]] = deque()
+        # What arrived lately of classes with an aim for their wait: time, CPUs,
+        # GPUs, whether it may use spot, and the wait that is accepted.
+        self.arrivals: deque[tuple[float, float, float, bool, float]] = deque()
         self.list_seen = False
         self.next_summary = core.now
         # By pool (with cards or without): steady capacity that is not needed.
@@ -81,9 +76,10 @@
         self.types_at = self.core.now
 
     def arrived(self, spec: Submission, at: float) -> None:
-        if spec.job_class not in self.prompt_classes:
-            return
-        self.arrivals.append((at, spec.cpus * spec.tasks, spec.gpus * spec.tasks, spec.spot))
+        within = self.core.aims.wait_s(spec.job_class)
+        if within is not None:
+            cpus, gpus = spec.cpus * spec.tasks, spec.gpus * spec.tasks
+            self.arrivals.append((at, cpus, gpus, spec.spot, within))
 
     def adopt(self, report: Report) -> Machine | None:
         """A machine we did not know: rented late, or by a leader before us."""
--- a/appleshift/coordination/outbound.py
+++ b/appleshift/coordination/outbound.py
@@ -4,6 +4,7 @@
 
 import logging
 import threading
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
@@ -28,11 +29,15 @@
 class WorkerCalls:
     """Direct commands and probes, on a bounded set of routines."""
 
-    def __init__(self, post: Post, connect: Connect, routines: Routines, size: int) -> None:
+    def __init__(
+        self, post: Post, connect: Connect, routines: Routines, size: int, most: int
+    ) -> None:
         self._post = post
         self._connect = connect
+        self._most = most
         self._pool = Pool(routines, "worker-call", size)
-        self._clients: dict[str, Caller] = {}
+        # The most recently used last; sockets are limited.
+        self._clients: OrderedDict[str, Caller] = OrderedDict()
         self._lock = threading.Lock()
 
     def push(self, effect: Push, token: int, term: Any) -> None:
@@ -45,12 +50,11 @@
         with self._lock:
             client = self._clients.get(addr)
             if client is None:
-                if len(self._clients) > 500:
-                    # Addresses of machines long gone.
-                    for old in self._clients.values():
-                        old.close()
-                    self._clients.clear()
                 client = self._clients[addr] = self._connect(split_address(addr))
+                if len(self._clients) > self._most:
+                    _, old = self._clients.popitem(last=False)
+                    old.close()
+            self._clients.move_to_end(addr)
             return client
 
     def _push(self, effect: Push, token: int, term: Any) -> None:
--- a/appleshift/coordination/provisioning.py
+++ b/appleshift/coordination/provisioning.py
@@ -18,6 +18,9 @@
 
 log = logging.getLogger(__name__)
 
+PROMPT_BOOTS = 2.0
+"""Work that may wait for this many boots can be rented for when it comes."""
+
 
 class Pool:
     """One review of the machines with cards, or of those without."""
@@ -80,8 +83,9 @@
         window = min(operator.warm_window_s, max(now - first, operator.warm_window_s / 3))
         share = steady.boot_s * operator.headroom / window
         size = 1 if self.gpus else 0
-        for _, cpus, gpus, spot in self.fleet.arrivals:
-            if (gpus > 0) == self.gpus:
+        for _, cpus, gpus, spot, within in self.fleet.arrivals:
+            # What may wait longer than machines take to come needs none ready.
+            if (gpus > 0) == self.gpus and within < PROMPT_BOOTS * steady.boot_s:
                 coming = (gpus if self.gpus else cpus) * share
                 total[size] += coming
                 fixed[size] += 0.0 if spot else coming
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -74,12 +74,20 @@
             routines=routines,
         )
         limits = deployment.machine_limits
-        connections = max(8, int(min(limits.max_sockets * 0.5, limits.memory_mb * 3)))
+        # Workers and users share the greater part of the sockets; direct commands
+        # and siblings have the rest. A connection's routine takes about 50 KB.
+        connections = max(8, int(min(limits.max_sockets * 0.55, limits.memory_mb * 5)))
         self.desk = Desk(
             self.election, self.leadership, siblings, self._post, self._events.qsize, routines
         )
         self.committer = Committer(self.store, self._post, lambda: self._term, routines)
-        self.workers = WorkerCalls(self._post, connect, routines, max(4, min(24, connections // 8)))
+        self.workers = WorkerCalls(
+            self._post,
+            connect,
+            routines,
+            size=max(4, min(24, connections // 8)),
+            most=max(8, int(limits.max_sockets * 0.3)),
+        )
         self.cloud = CloudCalls(
             self._post,
             connect(split_address(settings.external.cloud)),
@@ -97,7 +105,7 @@
         """Open both listeners; OSError if an address cannot be had."""
         settings = self.settings
         for address, app, limit, name in (
-            (settings.cluster_listen, self.desk.cluster, self._connections // 2, "cluster"),
+            (settings.cluster_listen, self.desk.cluster, self._connections // 6 + 4, "cluster"),
             (settings.listen, self.desk.public, self._connections, "listen"),
         ):
             self._listeners.append(Listener(split_address(address), app, limit, name))
--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -37,8 +37,8 @@
     consolidate_spare: float = 1.5
     peak_window_s: float = 120.0
     # Leadership.
-    leader_lease_s: float = 2.0
-    renew_s: float = 0.5
+    leader_lease_s: float = 1.5
+    renew_s: float = 0.4
     pledge_s: float = 6.0
     # Storage.
     write_share: float = 0.9
