--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -156,6 +156,11 @@
                     yield machine
 
     def first_fit(self, job: Job, machines: list[Machine]) -> list[Machine]:
+        """Machines with the image first, then spot before steady, then in order.
+
+        Replicas go to small machines before large ones: they may never end, and
+        a few of them would keep a large machine that everything else has left.
+        """
         types = self.tables.types
         return sorted(
             machines,
@@ -163,6 +168,7 @@
                 job.image not in machine.images,
                 types[machine.type].gpus > 0,
                 not machine.spot,
+                types[machine.type].cpus if job.service else 0.0,
                 machine.index,
             ),
         )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -206,3 +206,11 @@
     assert made.expected_s(wrong) == 10.0
     wrong.ran_s, wrong.ran_count = 27 * 40.0, 27
     assert 36.0 < made.expected_s(wrong) < 40.0
+
+
+def test_replicas_go_to_small_machines_and_leave_large_ones_free_to_go() -> None:
+    made = tables([("large", "a", False), ("small", "a", False)])
+    job(made, shape="daemon", spot=False)
+    assert where(place(made)) == [("m1", [0])]
+    job(made, spot=False)
+    assert where(place(made)) == [("m0", [0])]
