--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -72,7 +72,9 @@
         self._gathering: set[tuple[object, ...]] = set()
         # Tasks of waiting gangs that can still be in time.
         self._gang_tasks = 0
-        self._beside: dict[int, tuple[float, float]] = {}
+        self._beside: dict[int, tuple[float, float]] | None = None
+        self._none_beside = Failures()
+        self._late: dict[int, int] = {}
         self.preemption = Preemption(self)
 
     def order(self) -> list[Job]:
@@ -114,7 +116,11 @@
         """How many of its aims a job misses of which a task starts now."""
         if job.service:
             return 0
-        return self.aims.missed(job, self.wall, self.wall + self.tables.expected_s(job))
+        late = self._late.get(job.index)
+        if late is None:
+            end = self.wall + self.tables.expected_s(job)
+            late = self._late[job.index] = self.aims.missed(job, self.wall, end)
+        return late
 
     def within_guarantee(self, job: Job) -> bool:
         team = self.tables.teams[job.team]
@@ -208,11 +214,11 @@
         for task in tasks:
             self.tables.assign(job, task, attempt, machine, machine.session)
         self.preemption.placed(job, machine, len(tasks))
-        used = self._beside.get(machine.index)
-        if used is not None and job.spec.gpus <= 0:
+        if self._beside is not None and machine.index in self._beside and job.spec.gpus <= 0:
+            cpus, memory = self._beside[machine.index]
             self._beside[machine.index] = (
-                used[0] + job.spec.cpus * len(tasks),
-                used[1] + job.spec.memory_gb * len(tasks),
+                cpus - job.spec.cpus * len(tasks),
+                memory - job.spec.memory_gb * len(tasks),
             )
         self.result.placements.append(Placement(job, machine, attempt, tasks))
 
@@ -252,36 +258,47 @@
         spec = job.spec
         if spec.gpus > 0 or job.gang or job.service or spec.spread or spec.together:
             return []
-        if spec.types is not None or not self.tables.card_needs:
+        if spec.types is not None or self.tables.card_needs is None:
             return []
-        return self.first_fit(
-            job,
-            [
-                machine
-                for machine in self.allowed(job, cards=True)
-                if self._room_beside(machine, job) > 0
-            ],
-        )
+        if self._beside is None:
+            self._beside = self._left_beside()
+        key = self.place_key(job)
+        if not self._beside or self._none_beside.cover(key, spec):
+            return []
+        found = [
+            machine
+            for machine in self.allowed(job, cards=True)
+            if machine.index in self._beside and self._room_beside(machine, job) > 0
+        ]
+        if not found and not job.avoid:
+            self._none_beside.add(key, spec)
+        return self.first_fit(job, found)
+
+    def _left_beside(self) -> dict[int, tuple[float, float]]:
+        """CPUs and memory left beside cards, by machine, where any are left."""
+        left = {}
+        for (kind, _, _), machines in self.pools.items():
+            spec = self.tables.types[kind]
+            if spec.gpus <= 0:
+                continue
+            most = self.tables.beside_cards(kind)
+            for machine in machines:
+                if machine.free_gpus + EPSILON >= spec.gpus:
+                    continue
+                cpus, memory = most
+                for run in machine.runs.values():
+                    if run.job.spec.gpus <= 0 and run.job.runs.get(run.task) is run:
+                        cpus -= run.job.spec.cpus
+                        memory -= run.job.spec.memory_gb
+                if cpus > EPSILON and memory > EPSILON:
+                    left[machine.index] = (cpus, memory)
+        return left
 
     def _room_beside(self, machine: Machine, job: Job) -> int:
-        kind = self.tables.types[machine.type]
-        if machine.free_gpus + EPSILON >= kind.gpus:
-            return 0
-        used = self._beside.get(machine.index)
-        if used is None:
-            here = [
-                run.job.spec
-                for run in machine.runs.values()
-                if run.job.spec.gpus <= 0 and run.job.runs.get(run.task) is run
-            ]
-            used = (sum(spec.cpus for spec in here), sum(spec.memory_gb for spec in here))
-            self._beside[machine.index] = used
-        cpus, memory = self.tables.beside_cards(machine.type)
+        assert self._beside is not None
+        cpus, memory = self._beside[machine.index]
         return how_many(
-            min(machine.free_cpus, cpus - used[0]),
-            0.0,
-            min(machine.free_memory, memory - used[1]),
-            job.spec,
+            min(machine.free_cpus, cpus), 0.0, min(machine.free_memory, memory), job.spec
         )
 
     def _round(
