--- a/appleshift/coordination/preemption.py
+++ b/appleshift/coordination/preemption.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from appleshift.coordination.placement import Placer
+    from appleshift.protocol.users import Submission
 
 
 @dataclass(slots=True)
@@ -55,23 +56,20 @@
         self._placer = placer
         self._tables = placer.tables
         self._rooms: dict[int, _Room] = {}
-        self._least: int | None = None
+        self._least: dict[bool, int] | None = None
         self._failed: dict[int, Failures] = {}
 
-    def _least_urgent(self) -> int:
-        """The rank of the least urgent task that could be stopped anywhere."""
+    def _least_urgent(self, cards: bool) -> int:
+        """The rank of the least urgent task, with cards or without, that could be stopped."""
         if self._least is None:
-            self._least = max(
-                (
-                    run.job.rank
-                    for machines in self._placer.pools.values()
-                    for machine in machines
-                    for run in machine.runs.values()
-                    if run.grace is None and run.state not in (ORDERED, EXITED)
-                ),
-                default=-1,
-            )
-        return self._least
+            self._least = {True: -1, False: -1}
+            for machines in self._placer.pools.values():
+                for machine in machines:
+                    for run in machine.runs.values():
+                        if run.grace is None and run.state not in (ORDERED, EXITED):
+                            kind = run.job.spec.gpus > 0 or machine.free_gpus > EPSILON
+                            self._least[kind] = max(self._least[kind], run.job.rank)
+        return self._least[True] if cards else max(self._least.values())
 
     def _room(self, machine: Machine) -> _Room:
         room = self._rooms.get(machine.index)
@@ -101,7 +99,7 @@
     def victims(self, job: Job, missing: int) -> list[Run]:
         """Just enough less urgent work to make room for what is missing."""
         borrowers = self._borrowers(job)
-        if not self._guaranteed(job) and self._least_urgent() <= job.rank:
+        if not self._guaranteed(job) and self._least_urgent(job.spec.gpus > 0) <= job.rank:
             return []
         key = self._placer.place_key(job)
         failed = self._failed.setdefault(job.rank, Failures())
@@ -191,13 +189,18 @@
         spec = job.spec
         rooms = {machine.index: replace(self._room(machine), runs=[]) for machine in machines}
 
-        def fits() -> bool:
-            return missing <= sum(
-                how_many(room.cpus, room.gpus, room.memory_gb, spec) for room in rooms.values()
-            )
+        def fit(room: _Room) -> int:
+            return how_many(room.cpus, room.gpus, room.memory_gb, spec)
 
-        if fits():
+        missing -= sum(fit(room) for room in rooms.values())
+        if missing <= 0:
             return []
+        if not any(
+            self._may_stop(job, run, borrowers)
+            for machine in machines
+            for run in self._room(machine).runs
+        ):
+            return None
         # A gang that loses one task stops whole: count all of it, once.
         groups: dict[tuple[int, int], list[Run]] = {}
         for machine in machines:
@@ -208,18 +211,19 @@
         now = self._placer.now
 
         def cost(some: list[Run]) -> tuple[int, float]:
-            lost = sum(lost_work(run, now) for run in some[0].job.runs.values())
-            return (-some[0].job.rank, (lost if some[0].job.gang else 0.0) / len(some))
+            victim = some[0].job
+            whole = victim.runs.values() if victim.gang else some
+            return (-victim.rank, sum(lost_work(run, now) for run in whole) / len(some))
 
         chosen: list[Run] = []
         for some in sorted(groups.values(), key=cost):
-            useful = [run for run in some if run.job.spec.gpus > 0 or spec.gpus <= 0]
-            if not useful:
-                continue
             for run in some:
-                rooms[run.machine.index].add(run.job)
+                room = rooms[run.machine.index]
+                before = fit(room)
+                room.add(run.job)
+                missing -= fit(room) - before
             chosen += some
-            if fits():
+            if missing <= 0:
                 return chosen
         return None
 
@@ -267,8 +271,12 @@
     @staticmethod
     def _may_stop(job: Job, run: Run, borrowers: set[int]) -> bool:
         other = run.job
-        if other.rank > job.rank:
-            return True
-        if other.team not in borrowers:
+        if in_no_way(job.spec, run):
             return False
-        return other.spec.gpus > 0 or job.spec.gpus <= 0
+        return other.rank > job.rank or other.team in borrowers
+
+
+def in_no_way(spec: Submission, run: Run) -> bool:
+    """Work beside cards leaves them what they need: while no card is free,
+    ending it gives work with cards nothing."""
+    return spec.gpus > 0 and run.job.spec.gpus <= 0 and run.machine.free_gpus + EPSILON < spec.gpus
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -214,3 +214,17 @@
     assert where(place(made)) == [("m1", [0])]
     job(made, spot=False)
     assert where(place(made)) == [("m0", [0])]
+
+
+def test_work_beside_cards_is_not_stopped_for_work_with_cards() -> None:
+    """Once a leader spent its whole core looking at such tasks as victims."""
+    made = tables([("cards", "a", False)])
+    whole = {"shape": "ensemble", "gpus": 4.0, "cpus": 12.0, "memory_gb": 50.0, "priority": "high"}
+    running(job(made, **whole).runs.get(0) or place(made).placements[0].job.runs[0], since=0.1)
+    low = job(made, tasks=2, cpus=2.0, priority="low")
+    place(made)
+    for run in low.runs.values():
+        running(run, since=0.5)
+    job(made, **whole)
+    assert len(low.runs) == 2
+    assert place(made, preempt=True).victims == []
