--- a/appleshift/coordination/health.py
+++ b/appleshift/coordination/health.py
@@ -31,8 +31,9 @@
 """So few machines of a zone may well fall silent by themselves."""
 DARK_PROBES = 4
 """Machines of a dark zone that are asked directly whether it is back."""
-DARK_PATIENCE_S = 90.0
-"""Longer than this, machines that cannot be heard are not paid for."""
+DARK_PATIENCE_S = 180.0
+"""Longer than this, machines that cannot be heard are not paid for, and a zone
+of which nothing is left to be heard is tried again."""
 
 
 class Health:
@@ -60,17 +61,24 @@
             up[machine.zone] = up.get(machine.zone, 0) + 1
             if now - max(machine.last_heard, self._started) > probe_s:
                 silent.setdefault(machine.zone, []).append(machine)
-        if not silent:
-            self._mark_dark(set(), now)
-            return
-        quiet_zones = {
-            zone
-            for zone, machines in silent.items()
-            if len(machines) >= DARK_LEAST and len(machines) * 2 > up[zone]
-        }
+        # Silence alone is no evidence: after a takeover workers take a while to
+        # find the leader, but they answer when asked.
+        quiet_zones = set()
+        for zone, machines in silent.items():
+            mute = sum(1 for machine in machines if machine.probe > 0)
+            least = 1 if zone in self.dark else DARK_LEAST
+            if mute >= least and mute * 2 > up[zone]:
+                quiet_zones.add(zone)
         # Nobody answers anywhere: it is ourselves. One zone alone proves nothing.
         ourselves = bool(quiet_zones) and quiet_zones.issuperset(up)
-        self._mark_dark(set() if ourselves else quiet_zones, now)
+        # Having deleted what was silent proves nothing: a zone is back when
+        # most of its machines are heard. Once 124 were rented too early.
+        unheard = {
+            zone
+            for zone, since in self.dark.items()
+            if zone not in up and now - since <= DARK_PATIENCE_S
+        }
+        self._mark_dark(set() if ourselves else quiet_zones | unheard, now)
         for zone, machines in silent.items():
             probes = DARK_PROBES if zone in self.dark else len(machines)
             for machine in machines:
@@ -101,6 +109,9 @@
         # After a takeover workers take a while to find the new leader; a
         # probe does not depend on that, so one more of them will do.
         probes = 2 if machine.last_heard >= self._started else 3
+        if machine.zone in self.dark:
+            # Its whole zone is as silent as it is.
+            probes = 1
         if quiet > silent_s and machine.probe >= probes:
             return True
         return quiet > self._core.worker_lease_s + silent_s and machine.empty()
--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -164,20 +164,18 @@
     def first_fit(self, job: Job, machines: list[Machine]) -> list[Machine]:
         """Machines with the image first, then spot before steady, then in order.
 
-        Replicas go to small machines before large ones: they may never end, and
-        a few of them would keep a large machine that everything else has left.
+        Of machines without the image, those that fetch fastest come first: a
+        replica that has to move is missed until it has its image again.
         """
         types = self.tables.types
-        return sorted(
-            machines,
-            key=lambda machine: (
-                job.image not in machine.images,
-                types[machine.type].gpus > 0,
-                not machine.spot,
-                types[machine.type].cpus if job.service else 0.0,
-                machine.index,
-            ),
-        )
+
+        def key(machine: Machine) -> tuple[bool, bool, bool, float, int]:
+            kind = types[machine.type]
+            missing = job.image not in machine.images
+            speed = -kind.fetch_gb_per_s if missing else 0.0
+            return (missing, kind.gpus > 0, not machine.spot, speed, machine.index)
+
+        return sorted(machines, key=key)
 
     def candidates(self, job: Job) -> list[Machine]:
         """Machines with room for a task of the job, in the order of first fit."""
