--- a/appleshift/coordination/aims.py
+++ b/appleshift/coordination/aims.py
@@ -10,6 +10,8 @@
 PATIENCE_SHARE = 0.25
 """Of the wait that the users accept, this much may pass before others are stopped."""
 MOST_PATIENCE_S = 2.0
+STOP_START_S = 1.5
+"""Stopping one task and starting another in its place may take this long."""
 GATHER_SHARE = 0.5
 GATHER_S = 60.0
 """When a gang begins to gather if nobody said how long it may wait."""
@@ -46,7 +48,9 @@
         if job.service and job.attempt > 0:
             return 0.0
         within = self.wait_s(job.spec.job_class)
-        return 0.0 if within is None else min(MOST_PATIENCE_S, PATIENCE_SHARE * within)
+        if within is None:
+            return 0.0
+        return max(0.0, min(MOST_PATIENCE_S, PATIENCE_SHARE * within, within - STOP_START_S))
 
     def gathers(self, job: Job, age: float) -> bool:
         """Should a gang that fits nowhere keep the machines that fall free?
--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -39,7 +39,7 @@
     # Leadership.
     leader_lease_s: float = 1.5
     renew_s: float = 0.4
-    pledge_s: float = 6.0
+    pledge_s: float = 4.0
     # Storage.
     write_share: float = 0.9
     snapshot_kb: int = 256
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -176,6 +176,9 @@
     aims = Aims([Objective("wait", 0.9, "c", 2.0)])
     job(made, priority="high")
     assert Placer(made, 0.2, 0.2, -1.0, aims).run(True).victims == []
+    # Where a stop and a start take as long as the wait may be, there is none to spare.
+    hasty = Aims([Objective("wait", 0.9, "c", 1.0)])
+    assert hasty.patience_s(low) == 0.0
     assert Placer(made, 0.6, 0.6, -1.0, aims).run(True).victims == [low.runs[0]]
 
 
