--- a/appleshift/coordination/desk.py
+++ b/appleshift/coordination/desk.py
@@ -45,6 +45,7 @@
         siblings: dict[str, Caller],
         post: Callable[..., None],
         queued: Callable[[], int],
+        reaches: Callable[[str], bool],
         routines: Routines,
     ) -> None:
         self._routines = routines
@@ -53,6 +54,7 @@
         self._siblings = siblings
         self._post = post
         self._queued = queued
+        self._reaches = reaches
 
     # -- listeners ------------------------------------------------------------
 
@@ -73,6 +75,8 @@
                 leadership.may_answer(self._routines.now()),
             )
             return respond(200, hello)
+        if request.path == peers.REACH_PATH and request.method == "POST":
+            return self._reach(request.body)
         return self._guarded(request, forwarded=True)
 
     def _guarded(self, request: Request, forwarded: bool) -> Response:
@@ -205,6 +209,14 @@
         }
         return respond(200, body)
 
+    def _reach(self, body: bytes) -> Response:
+        """Do some of these workers answer this node?"""
+        try:
+            request = peers.decode_reach(body)
+        except ProtocolError as error:
+            return respond(400, users.error_body(error.reason))
+        return respond(200, peers.Reach(any(self._reaches(addr) for addr in request.addresses)))
+
     def _pledge(self, body: bytes) -> Response:
         try:
             request = peers.decode_pledge(body)
--- a/appleshift/coordination/election.py
+++ b/appleshift/coordination/election.py
@@ -25,6 +25,8 @@
 """What a sibling said of itself holds for this long: a few of its rounds, and
 longer than a crashed leader's key outlives it."""
 CHECK_S = 0.4
+RESIGNED_S = 10.0
+"""Who resigned leaves the others this long to take over."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,10 @@
         self._mark = mark
         # What siblings said of themselves: when, whether entitled, their token.
         self._heard: dict[str, tuple[float, bool, int]] = {}
+        # Workers that this node, though it leads, cannot hear; with nobody heard.
+        self.unheard: list[str] = []
+        self._resigned = routines.flag()
+        self._stand_after = routines.now()
         self._leader_since = routines.now()
         self._attempt = 0
         self._lease = 0
@@ -118,6 +124,12 @@
         at = self._heard.get(leader, (self._leader_since, False, 0))[0]
         return now - max(at, self._leader_since) < HEARD_S
 
+    def _resign(self) -> None:
+        """Let another node lead, and do not stand against it for a while."""
+        self._stand_after = self._now() + RESIGNED_S
+        self._resigned.set()
+        self._deposed.set()
+
     def state_answers(self) -> bool:
         """Does the state service answer this node right now?"""
         try:
@@ -177,6 +189,8 @@
             self.leadership.end_standing(settled=True)
 
     def _stand(self) -> bool:
+        if self._now() < self._stand_after:
+            return False
         if self.leadership.unsettled() or not self.leadership.begin_standing(self._now()):
             return False
         settled = True
@@ -225,7 +239,8 @@
 
     def _renew(self) -> None:
         if self._deposed.is_set():
-            self._lose("deposed")
+            resigned = self._resigned.is_set()
+            self._lose("workers reach others, not this node" if resigned else "deposed")
             return
         sent = self._now()
         try:
@@ -251,6 +266,7 @@
         self.leadership.lost()
         self.leader = None
         self._deposed.clear()
+        self._resigned.clear()
         self._trouble.clear()
         self._on_lost()
         self.store.drop_lease(self._lease)
@@ -273,10 +289,24 @@
                     self._heard[sibling] = (self._now(), hello.entitled, hello.token)
                     if not hello.leading:
                         self.leadership.sibling_cleared(sibling)
+                if self.unheard and self.leadership.leading:
+                    self._compare(client, self.unheard)
             except (ClientError, ProtocolError) as error:
                 log.debug("hello to %s: %s", sibling, error)
             self._stop.wait(HELLO_GAP_S if cleared else 0.3)
 
+    def _compare(self, client: Caller, addresses: list[str]) -> None:
+        """No worker answers here: if one answers the sibling, it had better lead.
+
+        The state service would take this node for the leader as long as it
+        renews, while every worker's lease, and all its tasks, end.
+        """
+        request = encode(peers.ReachRequest(addresses))
+        status, body = client.request("POST", peers.REACH_PATH, request, 2.5)
+        if status == 200 and peers.decode_reached(body).reached:
+            log.info("workers answer others, not this node: resigning")
+            self._resign()
+
     def _pledges(self, sibling: str) -> None:
         client = self.siblings[sibling]
         seq = 0
--- a/appleshift/coordination/health.py
+++ b/appleshift/coordination/health.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import logging
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from appleshift.bookkeeping.tables import EXITED, UP, Job, Machine
@@ -29,6 +30,12 @@
 SLOW_RATIO = 2.0
 DARK_LEAST = 3
 """So few machines of a zone may well fall silent by themselves."""
+DARK_MUTE = 8
+"""So many unanswered probes are evidence enough about a silent zone."""
+DEAF_S = 0.5
+UNHEARD = 3
+SETTLED_S = 12.0
+"""By then workers have found a new leader if they can reach it at all."""
 DARK_PROBES = 4
 """Machines of a dark zone that are asked directly whether it is back."""
 DARK_PATIENCE_S = 180.0
@@ -46,6 +53,7 @@
         self._started = fleet.core.now
         # Zones that are cut off, and since when.
         self.dark: dict[int, float] = {}
+        self._deaf_since = fleet.core.now
 
     def check(self, now: float) -> None:
         report_s = self._core.settings.deployment.workers.report_s
@@ -67,10 +75,14 @@
         for zone, machines in silent.items():
             mute = sum(1 for machine in machines if machine.probe > 0)
             least = 1 if zone in self.dark else DARK_LEAST
-            if mute >= least and mute * 2 > up[zone]:
+            # Probing all of a large zone would take seconds: some are enough.
+            asked = min(DARK_MUTE, len(machines) // 2 + 1)
+            if len(machines) * 2 > up[zone] and mute >= max(least, asked):
                 quiet_zones.add(zone)
         # Nobody answers anywhere: it is ourselves. One zone alone proves nothing.
         ourselves = bool(quiet_zones) and quiet_zones.issuperset(up)
+        if not ourselves:
+            self._deaf_since = now
         # Having deleted what was silent proves nothing: a zone is back when
         # most of its machines are heard. Once 124 were rented too early.
         unheard = {
@@ -91,6 +103,17 @@
                     machine.probing = True
                     self._core.effects.append(Inspect(machine.name, machine.addr))
 
+    def unheard(self, now: float) -> list[str]:
+        """If no worker anywhere reports or answers, addresses of some; else none.
+
+        Either they are all gone or it is this node that is cut off from them;
+        its siblings can tell.
+        """
+        if now - self._deaf_since <= DEAF_S or now - self._started <= SETTLED_S:
+            return []
+        mute = (machine.addr for machine in self._tables.machines.values() if machine.probe > 0)
+        return list(islice(filter(None, mute), UNHEARD))
+
     def _mark_dark(self, zones: set[int], now: float) -> None:
         for zone in zones - self.dark.keys():
             log.info("zone %s is cut off", self._tables.zones.names[zone])
--- a/appleshift/coordination/outbound.py
+++ b/appleshift/coordination/outbound.py
@@ -57,6 +57,14 @@
             self._clients.move_to_end(addr)
             return client
 
+    def reaches(self, addr: str) -> bool:
+        """Does that worker answer this node?"""
+        try:
+            client = self._client(addr)
+            return client.request("GET", "/inspect", None, INSPECT_TIMEOUT_S)[0] == 200
+        except (ClientError, ValueError):
+            return False
+
     def _push(self, effect: Push, token: int, term: Any) -> None:
         outcome = "unknown"
         report: Report | None = None
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -77,9 +77,6 @@
         # Workers and users share the greater part of the sockets; direct commands
         # and siblings have the rest. A connection's routine takes about 50 KB.
         connections = max(8, int(min(limits.max_sockets * 0.55, limits.memory_mb * 5)))
-        self.desk = Desk(
-            self.election, self.leadership, siblings, self._post, self._events.qsize, routines
-        )
         self.committer = Committer(self.store, self._post, lambda: self._term, routines)
         self.workers = WorkerCalls(
             self._post,
@@ -88,6 +85,15 @@
             size=max(4, min(24, connections // 8)),
             most=max(8, int(limits.max_sockets * 0.3)),
         )
+        self.desk = Desk(
+            self.election,
+            self.leadership,
+            siblings,
+            self._post,
+            self._events.qsize,
+            self.workers.reaches,
+            routines,
+        )
         self.cloud = CloudCalls(
             self._post,
             connect(split_address(settings.external.cloud)),
@@ -167,6 +173,7 @@
             return
         now = self.routines.now()
         core.step(now, self.routines.wall())
+        self.election.unheard = core.fleet.health.unheard(now)
         if self.leadership.may_write(now):
             txn = core.journal.next_txn(now)
             if txn is not None:
@@ -289,6 +296,7 @@
         core = self._core
         self._core = None
         self._term = None
+        self.election.unheard = []
         self.cloud.lead(None)
         if core is not None:
             core.abandon()
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -276,3 +276,45 @@
             assert all(host.node.election.serves() for host in alive)  # type: ignore[union-attr]
     finally:
         world.close()
+
+
+def test_a_leader_that_no_worker_reaches_resigns_before_their_leases_end() -> None:
+    """Once it kept the leadership for as long as the state service answered."""
+    world = World(52, site=LARGE)
+    world.lossy = 0.0
+    try:
+        for _ in range(6):
+            job = world.submit(
+                shape="daemon", pieces=4, cards=0.0, rig_kinds=None, yard=None, together=False
+            )
+            world.rules.jobs[job].tried_cancel = True
+        world.cloud.fail_boots = 0.0
+        world.run(40.0)
+        old = world.leaders()[0]
+        before = len(world.workers)
+        assert before > 3
+        for address in list(world.workers):
+            world.blocked |= {(address, old.name), (old.name, address)}
+        # A worker whose report got no answer for 4 s asks another node 1 s later.
+        world.run(45.0)
+        assert [host.name for host in world.leaders() if host is not old]
+        world.run(60.0)
+        assert old not in world.leaders()
+        assert all(worker.token > 1 for worker in world.workers.values())
+    finally:
+        world.close()
+
+
+def test_a_leader_does_not_resign_for_workers_that_reach_nobody() -> None:
+    world = World(53, site=LARGE)
+    world.lossy = 0.0
+    try:
+        for _ in range(6):
+            world.submit(shape="daemon", pieces=4, cards=0.0, rig_kinds=None, yard=None)
+        world.run(40.0)
+        leader = world.leaders()[0]
+        world.cuts |= set(world.workers)
+        world.run(60.0)
+        assert world.leaders() == [leader]
+    finally:
+        world.close()
