--- a/appleshift/coordination/health.py
+++ b/appleshift/coordination/health.py
@@ -32,6 +32,7 @@
 """So few machines of a zone may well fall silent by themselves."""
 DARK_MUTE = 8
 """So many unanswered probes are evidence enough about a silent zone."""
+SURE_S = 1.0
 DEAF_S = 0.5
 UNHEARD = 3
 SETTLED_S = 12.0
@@ -72,7 +73,10 @@
         # Silence alone is no evidence: after a takeover workers take a while to
         # find the leader, but they answer when asked.
         quiet_zones = set()
+        suspect = set()
         for zone, machines in silent.items():
+            if len(machines) >= DARK_LEAST and len(machines) * 2 > up[zone]:
+                suspect.add(zone)
             mute = sum(1 for machine in machines if machine.probe > 0)
             least = 1 if zone in self.dark else DARK_LEAST
             # Probing all of a large zone would take seconds: some are enough.
@@ -95,7 +99,9 @@
             probes = DARK_PROBES if zone in self.dark else len(machines)
             for machine in machines:
                 quiet = now - max(machine.last_heard, self._started)
-                if not ourselves and self._is_lost(machine, quiet, silent_s, now):
+                # Zones fall silent one after the other even if it is ourselves.
+                sure = zone not in suspect or now - self.dark.get(zone, now) > SURE_S
+                if sure and not ourselves and self._is_lost(machine, quiet, silent_s, now):
                     self._fleet.evict(machine)
                     self._fleet.give_up(machine, f"silent for {quiet:.1f} s")
                 elif machine.addr and not machine.probing and (probes > 0 or serves(machine)):
