--- a/appleshift/coordination/health.py
+++ b/appleshift/coordination/health.py
@@ -32,7 +32,11 @@
 """So few machines of a zone may well fall silent by themselves."""
 DARK_MUTE = 8
 """So many unanswered probes are evidence enough about a silent zone."""
+NEW_LEADER_S = 2.0
+MAX_INSPECTIONS = 40
+"""So many machines are asked in one look at the fleet."""
 SURE_S = 1.0
+GONE_S = 5.0
 DEAF_S = 0.5
 UNHEARD = 3
 SETTLED_S = 12.0
@@ -61,6 +65,9 @@
         # Reports are a quarter late at most: one that is missing is probed for
         # at once, and two intervals without any must have passed.
         probe_s = report_s * 1.4
+        # A new leader asks those that have not found it yet, not all at once.
+        new_s = min(probe_s, NEW_LEADER_S)
+        inspections = MAX_INSPECTIONS
         silent_s = max(self._core.operator.silent_s, 2.2 * report_s)
         silent: dict[int, list[Machine]] = {}
         up: dict[int, int] = {}
@@ -68,7 +75,8 @@
             if machine.status != UP or machine.asked_gone:
                 continue
             up[machine.zone] = up.get(machine.zone, 0) + 1
-            if now - max(machine.last_heard, self._started) > probe_s:
+            known = machine.last_heard >= self._started
+            if now - max(machine.last_heard, self._started) > (probe_s if known else new_s):
                 silent.setdefault(machine.zone, []).append(machine)
         # Silence alone is no evidence: after a takeover workers take a while to
         # find the leader, but they answer when asked.
@@ -104,11 +112,22 @@
                 if sure and not ourselves and self._is_lost(machine, quiet, silent_s, now):
                     self._fleet.evict(machine)
                     self._fleet.give_up(machine, f"silent for {quiet:.1f} s")
-                elif machine.addr and not machine.probing and (probes > 0 or serves(machine)):
+                elif (
+                    machine.addr
+                    and not machine.probing
+                    and inspections > 0
+                    and (probes > 0 or serves(machine))
+                ):
                     probes -= 1
+                    inspections -= 1
                     machine.probing = True
                     self._core.effects.append(Inspect(machine.name, machine.addr))
 
+    def counts(self, zone: int) -> bool:
+        """Is a zone's capacity there? A zone may seem dark for a moment after a
+        takeover; what it holds is not rented anew for that."""
+        return self._core.now - self.dark.get(zone, self._core.now) <= GONE_S
+
     def unheard(self, now: float) -> list[str]:
         """If no worker anywhere reports or answers, addresses of some; else none.
 
@@ -140,7 +159,7 @@
         probes = 2 if machine.last_heard >= self._started else 3
         if machine.zone in self.dark:
             # Its whole zone is as silent as it is.
-            probes = 1
+            return machine.probe > 0
         if quiet > silent_s and machine.probe >= probes:
             return True
         return quiet > self._core.worker_lease_s + silent_s and machine.empty()
--- a/appleshift/coordination/provisioning.py
+++ b/appleshift/coordination/provisioning.py
@@ -35,7 +35,7 @@
             for machine in tables.machines.values()
             if machine.type in self.kinds
             # What cannot be heard is no capacity, though it may come back.
-            and machine.zone not in fleet.health.dark
+            and fleet.health.counts(machine.zone)
             and not (machine.asked_gone or machine.sick or machine.draining or machine.cordoned)
         ]
         self.steady = min(
