--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -584,6 +584,8 @@
             if run.grace is not None:
                 commands.append(workers.stop(run.name, run.attempt, run.grace))
         for (name, attempt), exited in machine.strays.items():
+            if len(commands) >= MAX_COMMANDS:
+                break
             if exited:
                 commands.append(workers.clear(name, attempt))
             else:
--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -143,8 +143,11 @@
 
     # -- the cloud's list -------------------------------------------------------------
 
-    def listed(self, rows: list[ListedMachine], asked_at: float) -> None:
-        """Take in a whole list; it is old, and may be older than the last one."""
+    def listed(self, rows: list[ListedMachine], whole: bool) -> None:
+        """Take in a list; it is old, and may be older than the last one.
+
+        Only a list of which every row could be read says what is not in it.
+        """
         now = self.core.now
         lag = self.core.settings.deployment.cloud.list_lag_s
         names = set()
@@ -168,7 +171,7 @@
             if row.state == cloud.FAILED and not machine.asked_gone:
                 self.evict(machine)
                 self.give_up(machine, "failed")
-        for machine in list(self.tables.machines.values()):
+        for machine in list(self.tables.machines.values()) if whole else []:
             if machine.name in names or machine.asked_gone:
                 continue
             heard = machine.last_heard > now - 2 * lag
--- a/appleshift/coordination/outbound.py
+++ b/appleshift/coordination/outbound.py
@@ -213,9 +213,8 @@
     def _list(self, term: Any) -> int:
         """Read the whole list; returns how many pages it took."""
         rows: list[cloud.ListedMachine] = []
-        pages = 0
+        pages, whole = 0, True
         after = ""
-        asked_at = self._routines.now()
         while True:
             status, body = self._get(cloud.list_path(after))
             pages += 1
@@ -223,10 +222,15 @@
                 return pages
             page = cloud.decode_list(body)
             rows += page.machines
-            if not page.more or not page.machines:
+            whole = whole and page.whole
+            if not page.more:
+                break
+            if not page.machines:
+                # Nothing to go on after: the rest stays unread.
+                whole = False
                 break
             after = page.machines[-1].name
-        self._post("listed", term, rows, asked_at)
+        self._post("listed", term, rows, whole)
         return pages
 
 
--- a/appleshift/protocol/cloud.py
+++ b/appleshift/protocol/cloud.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from appleshift.protocol.wire import decode_as
+from appleshift.protocol.wire import ProtocolError, decode_as
 
 FAILED = "failed"
 
@@ -69,8 +69,16 @@
     addr: str = ""
 
 
-class MachineList(msgspec.Struct, frozen=True, rename={"machines": "rigs", "more": "truncated"}):
+class MachineList(msgspec.Struct, frozen=True):
+    """A page of the list; ``whole``: every row could be read."""
+
     machines: list[ListedMachine]
+    more: bool
+    whole: bool
+
+
+class _RawList(msgspec.Struct, frozen=True, rename={"rows": "rigs", "more": "truncated"}):
+    rows: list[msgspec.Raw]
     more: bool = False
 
 
@@ -79,7 +87,8 @@
 
 
 _types = msgspec.msgpack.Decoder(TypeList)
-_list = msgspec.msgpack.Decoder(MachineList)
+_list = msgspec.msgpack.Decoder(_RawList)
+_row = msgspec.msgpack.Decoder(ListedMachine)
 _rented = msgspec.msgpack.Decoder(Rented)
 
 
@@ -88,7 +97,15 @@
 
 
 def decode_list(body: bytes) -> MachineList:
-    return decode_as(_list, body)
+    """Read a page row by row: one that is junk must not hide hundreds of others."""
+    page = decode_as(_list, body)
+    machines = []
+    for row in page.rows:
+        try:
+            machines.append(decode_as(_row, bytes(row)))
+        except ProtocolError:
+            continue
+    return MachineList(machines, page.more, len(machines) == len(page.rows))
 
 
 def decode_rented(body: bytes) -> list[str]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,6 +12,7 @@
 from appleshift.bookkeeping.tables import UP, Tables
 from appleshift.coordination.core import Core
 from appleshift.coordination.effects import Delete, Inspect, Push, Rent, Reply
+from appleshift.protocol.cloud import decode_list
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Objective, Settings
 from appleshift.protocol.workers import Report, TaskReport
@@ -236,3 +237,36 @@
             if isinstance(effect, Inspect):
                 bench.core.probed(effect.machine, None)
             assert not isinstance(effect, Delete)
+
+
+def test_a_report_of_hundreds_of_strange_tasks_gets_an_answer_that_fits() -> None:
+    bench = Bench(history())
+    strange = [TaskReport(f"job-{number:06d}/1", 1, "running") for number in range(100, 1000)]
+    first = bench.report(*strange)
+    assert len(msgspec.json.encode(first)) < 60 * 1024
+    # What the first answer could not hold comes with the next one.
+    ended = {command["piece"] for command in first}
+    left = [task for task in strange if task.task not in ended]
+    assert left
+    assert {command["piece"] for command in bench.report(*left)} & {task.task for task in left}
+
+
+def test_junk_in_the_clouds_list_hides_nothing_and_proves_nothing() -> None:
+    rows = [
+        {"name_id": f"i-{number:06d}", "rig_kind": "small", "yard": "a", "loaners": False,
+         "status": "running", "age_s": 5.0, "addr": f"10.1.0.{number}:9000"}
+        for number in range(200)
+    ]  # fmt: skip
+    page = decode_list(msgspec.msgpack.encode({"rigs": [*rows, 7, {"name_id": []}, None]}))
+    assert len(page.machines) == 200
+    assert not page.whole
+    bench = Bench(history())
+    bench.core.fleet.listed(page.machines, page.whole)
+    assert len(bench.core.tables.machines) == 201
+    machine = bench.core.tables.machine("i-000007")
+    assert machine is not None
+    for whole, gone in ((False, False), (True, True)):
+        bench.now += 200.0
+        bench.core.now = bench.now
+        bench.core.fleet.listed([], whole)
+        assert machine.asked_gone is gone
