--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,11 +4,14 @@
 
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from appleshift.cli import main
+from appleshift.node import Node
 from appleshift.protocol.operator import OperatorSettings, load_operator_settings
-from appleshift.protocol.settings import SettingsError, load_settings
+from appleshift.protocol.settings import Settings, SettingsError, load_settings
+from tests.sites import SMALL
 
 ROOT = Path(__file__).parent.parent
 
@@ -107,3 +110,17 @@
         main(["--help"])
     assert done.value.code == 0
     assert main(["nodes", "nonsense"]) == 1
+
+
+@pytest.mark.parametrize("said", [1, 3, 9])
+def test_the_number_of_nodes_said_may_differ_from_the_siblings_named(said: int) -> None:
+    """A deployment that grew or shrank: only the siblings that are named count."""
+    made = msgspec.to_builtins(SMALL.settings_for("n0"))
+    made["deployment"]["initial_size"] = said
+    node = Node(msgspec.convert(made, Settings), OperatorSettings())
+    now = node.routines.now()
+    assert not node.leadership.cleared(now)
+    node.leadership.sibling_cleared("n1")
+    assert not node.leadership.cleared(now)
+    node.leadership.sibling_cleared("n2")
+    assert node.leadership.cleared(now)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from appleshift.bookkeeping.store import Store
@@ -10,6 +11,7 @@
 from appleshift.coordination.leadership import Leadership
 from appleshift.transport.server import Request
 from tests.chaos import heal, outages, unleash
+from tests.rules import Seen
 from tests.sites import LARGE
 from tests.standins import Reply
 from tests.world import World
@@ -318,3 +320,48 @@
         assert world.leaders() == [leader]
     finally:
         world.close()
+
+
+def test_a_flood_of_submissions_is_answered_and_none_of_it_is_lost() -> None:
+    world = World(54, site=LARGE)
+    world.lossy = 0.0
+    try:
+        world.run(10.0)
+        leader = world.leaders()[0]
+        answers: dict[str, int] = {}
+        spec = {
+            "rig_kinds": None, "yard": None, "due_s": None, "workload": "flood",
+            "owner": "red", "shape": "array", "urgency": "low", "pieces": 3,
+            "vcpus": 1.0, "cards": 0.0, "ram_gb": 1.0, "bundle": "img-1", "image_gb": 0.1,
+            "together": False, "spread": False, "loaners": True, "expected_s": 5.0,
+            "snapshot_every_s": 0.0, "snapshot_cost_s": 0.0,
+        }  # fmt: skip
+        for number in range(500):
+            name = f"job-8{number:05d}"
+            world.rules.jobs[name] = Seen({**spec, "name_id": name})
+            world.times[name] = 2.0
+            body = msgspec.msgpack.encode({**spec, "name_id": name})
+            world.ask(
+                leader,
+                "public",
+                Request("POST", "/submissions", body),
+                lambda status, _, name=name: answers.update({name: status}),
+            )
+        world.run(18.0)
+        assert len(answers) == 500
+        assert set(answers.values()) <= {201, 503}
+        taken = [name for name, status in answers.items() if status == 201]
+        assert len(taken) > 100
+        leader.crash(1.0)
+        world.run(30.0)
+        known: dict[str, int] = {}
+        host = world.leaders()[0]
+        for name in taken:
+            request = Request("GET", f"/submissions/{name}", b"")
+            world.ask(
+                host, "public", request, lambda status, _, name=name: known.update({name: status})
+            )
+        world.run(36.0)
+        assert known == dict.fromkeys(taken, 200)
+    finally:
+        world.close()
