--- a/appleshift/coordination/election.py
+++ b/appleshift/coordination/election.py
@@ -160,25 +160,31 @@
     def _follow(self) -> None:
         if self._stale_lease is not None:
             self._settle()
-        item = self.store.get(LEADER_KEY)
-        if item is None:
+        # Read as a page, which says the service's revision. A watch from the
+        # key's own is refused once enough other changes have followed: then
+        # every follower of a long term asked as fast as its rate allowed.
+        page = self.store.page(LEADER_KEY, "", 1)
+        if not page.items:
             self.leader = None
             if not self._stand():
                 self._stop.wait(0.15)
             return
-        value = item.value if isinstance(item.value, dict) else {}
+        value = page.items[0].value if isinstance(page.items[0].value, dict) else {}
         leader = str(value.get("name", ""))
         if leader != self.leader:
             self.leader, self._leader_since = leader, self._now()
         if self.leader == self.name:
             # Left by an attempt of ours or by this node before its restart.
             self.leader = None
-            if isinstance(item.lease, int):
+            item = self.store.get(LEADER_KEY)
+            if item is not None and isinstance(item.lease, int):
                 self.store.drop_lease(item.lease)
             self._stop.wait(0.1)
             return
-        changes = self.store.watch(LEADER_KEY, item.version, WATCH_S)
-        if changes is not None and any(change.get("remove") for change in changes.news):
+        changes = self.store.watch(LEADER_KEY, page.revision, WATCH_S)
+        if changes is None:
+            self._stop.wait(0.1)
+        elif any(change.get("remove") for change in changes.news):
             self.leader = None
 
     def _settle(self) -> None:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 import msgspec
 import pytest
 
@@ -307,6 +309,26 @@
         world.close()
 
 
+def test_followers_ask_the_state_service_seldom_however_long_the_term() -> None:
+    """Once their watch was refused as too old after 10,000 changes, again and
+    again, and each of them spent its whole rate and processor on asking."""
+    world = World(55)
+    world.lossy = 0.0
+    world.state.history = deque(maxlen=20)
+    try:
+        for _ in range(15):
+            world.sim.after(world.rng.uniform(0.0, 20.0), world.submit)
+        world.run(40.0)
+        assert world.state.forgotten > world.state.rows["leader"][1]
+        leader = world.leaders()[0].name
+        before = world.state.asked.copy()
+        world.run(70.0)
+        asked = world.state.asked - before
+        assert all(asked[name] <= 20 for name in world.hosts if name != leader), asked
+    finally:
+        world.close()
+
+
 def test_a_leader_does_not_resign_for_workers_that_reach_nobody() -> None:
     world = World(53, site=LARGE)
     world.lossy = 0.0
