--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -299,6 +299,8 @@
         self.machine_names = NameIndex()
         self.machines: dict[int, Machine] = {}
         self.gone: set[str] = set()
+        # How many tasks of each rank may be on machines.
+        self._placed = [0] * len(RANKS)
         # By class of jobs: how long tasks ran, measured in their estimates.
         self.run_ratios: dict[str, float] = {}
         # The most CPUs and memory that work with cards took for one card.
@@ -370,6 +372,7 @@
         job.attempt = max(job.attempt, attempt)
         machine.runs[(run.name, attempt)] = run
         machine.take(job.spec)
+        self._placed[job.rank] += 1
         team = self.teams[job.team]
         team.cpus += job.spec.cpus
         team.gpus += job.spec.gpus
@@ -384,10 +387,15 @@
         if not job.done[run.task]:
             job.pending.add(run.task)
         run.machine.give(job.spec)
+        self._placed[job.rank] -= 1
         team = self.teams[job.team]
         team.cpus -= job.spec.cpus
         team.gpus -= job.spec.gpus
 
+    def least_urgent(self) -> int:
+        """The largest rank of which a task may be on some machine; -1 without any."""
+        return max((rank for rank, tasks in enumerate(self._placed) if tasks), default=-1)
+
     def finish_task(self, job: Job, task: int) -> bool:
         if job.done[task]:
             return False
--- a/appleshift/coordination/preemption.py
+++ b/appleshift/coordination/preemption.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
@@ -56,20 +57,31 @@
         self._placer = placer
         self._tables = placer.tables
         self._rooms: dict[int, _Room] = {}
-        self._least: dict[bool, int] | None = None
-        self._failed: dict[int, Failures] = {}
+        self._least_beside: int | None = None
+        self._failed = Failures()
 
     def _least_urgent(self, cards: bool) -> int:
-        """The rank of the least urgent task, with cards or without, that could be stopped."""
-        if self._least is None:
-            self._least = {True: -1, False: -1}
-            for machines in self._placer.pools.values():
-                for machine in machines:
-                    for run in machine.runs.values():
-                        if run.grace is None and run.state not in (ORDERED, EXITED):
-                            kind = run.job.spec.gpus > 0 or machine.free_gpus > EPSILON
-                            self._least[kind] = max(self._least[kind], run.job.rank)
-        return self._least[True] if cards else max(self._least.values())
+        """No task that could be stopped is less urgent than this rank."""
+        if not cards:
+            return self._tables.least_urgent()
+        if self._least_beside is None:
+            self._least_beside = max(
+                (
+                    run.job.rank
+                    for machine in self._with_cards()
+                    for run in machine.runs.values()
+                    if (run.job.spec.gpus > 0 or machine.free_gpus > EPSILON)
+                    and run.grace is None
+                    and run.state not in (ORDERED, EXITED)
+                ),
+                default=-1,
+            )
+        return self._least_beside
+
+    def _with_cards(self) -> Iterator[Machine]:
+        for (kind, _, _), machines in self._placer.pools.items():
+            if self._tables.types[kind].gpus > 0:
+                yield from machines
 
     def _room(self, machine: Machine) -> _Room:
         room = self._rooms.get(machine.index)
@@ -101,12 +113,15 @@
         borrowers = self._borrowers(job)
         if not self._guaranteed(job) and self._least_urgent(job.spec.gpus > 0) <= job.rank:
             return []
-        key = self._placer.place_key(job)
-        failed = self._failed.setdefault(job.rank, Failures())
-        if not borrowers and failed.cover(key, job.spec):
+        # Whom two jobs may stop is the same if all of this is.
+        key = (job.rank, job.gang, frozenset(borrowers), *self._placer.place_key(job))
+        if self._hopeless(job, key, missing):
             return []
         if job.gang:
-            return self._gang_victims(job, missing, borrowers)
+            whole = self._gang_victims(job, missing, borrowers)
+            if whole is None and not job.avoid:
+                self._failed.add(key, job.spec, missing)
+            return whole or []
         rooms = zone_room(self._tables, job)
         useful: list[Machine] = []
         for machine in self._placer.allowed(job):
@@ -126,9 +141,13 @@
             if rooms is not None:
                 rooms[machine.zone] -= made
         if missing > 0 and rooms is None and not job.avoid:
-            failed.add(key, job.spec)
+            self._failed.add(key, job.spec)
         return chosen
 
+    def _hopeless(self, job: Job, key: tuple[object, ...], missing: int) -> bool:
+        """Nobody could be stopped for as urgent work that needs no more."""
+        return self._failed.cover(key, job.spec, missing if job.gang else 1)
+
     def _guaranteed(self, job: Job) -> bool:
         """Might a guarantee, too, make room for this job or for one after it?
 
@@ -155,8 +174,11 @@
                 owed.add(number)
         return owed
 
-    def _gang_victims(self, job: Job, missing: int, borrowers: set[int]) -> list[Run]:
-        """Room for a whole gang, at the least cost; nobody stops for a part of it."""
+    def _gang_victims(self, job: Job, missing: int, borrowers: set[int]) -> list[Run] | None:
+        """Room for a whole gang, at the least cost; nobody stops for a part of it.
+
+        None if no stops would make enough.
+        """
         zones: dict[int, list[Machine]] = {}
         for machine in self._placer.allowed(job):
             zones.setdefault(machine.zone if job.spec.together else -1, []).append(machine)
@@ -168,7 +190,7 @@
                     (sum(lost_work(run, self._placer.now) for run in some), some, machines)
                 )
         if not plans:
-            return []
+            return None
         _, chosen, machines = min(plans, key=lambda plan: plan[0])
         for run in chosen:
             run.grace = stop_grace(run)
@@ -187,27 +209,32 @@
     ) -> list[Run] | None:
         """Whom to stop so that the whole gang fits on these machines; None: it cannot."""
         spec = job.spec
-        rooms = {machine.index: replace(self._room(machine), runs=[]) for machine in machines}
 
         def fit(room: _Room) -> int:
             return how_many(room.cpus, room.gpus, room.memory_gb, spec)
 
-        missing -= sum(fit(room) for room in rooms.values())
-        if missing <= 0:
-            return []
-        if not any(
-            self._may_stop(job, run, borrowers)
-            for machine in machines
-            for run in self._room(machine).runs
-        ):
-            return None
         # A gang that loses one task stops whole: count all of it, once.
         groups: dict[tuple[int, int], list[Run]] = {}
         for machine in machines:
-            for run in self._room(machine).runs:
+            room = self._room(machine)
+            if room.gpus + EPSILON >= spec.gpus:
+                # Most machines have no card to spare: their CPUs do not matter.
+                missing -= fit(room)
+            if room.least <= job.rank and not borrowers:
+                continue
+            for run in room.runs:
                 if self._may_stop(job, run, borrowers):
                     whole = (run.job.index, -1 if run.job.gang else run.task)
                     groups.setdefault(whole, []).append(run)
+        if missing <= 0:
+            return []
+        if not groups:
+            return None
+        rooms = {
+            run.machine.index: replace(self._room(run.machine), runs=[])
+            for some in groups.values()
+            for run in some
+        }
         now = self._placer.now
 
         def cost(some: list[Run]) -> tuple[int, float]:
--- a/appleshift/coordination/room.py
+++ b/appleshift/coordination/room.py
@@ -45,19 +45,21 @@
     """Needs that found no room in this pass, by where the work may go.
 
     Room only shrinks while a pass goes on, so whatever needs at least as much
-    in the same places cannot succeed either and need not be tried.
+    in the same places cannot succeed either and need not be tried. Of a gang,
+    which needs room for all its tasks at once, their number counts as well.
     """
 
     def __init__(self) -> None:
-        self._needs: dict[tuple[object, ...], list[Submission]] = {}
+        self._needs: dict[tuple[object, ...], list[tuple[Submission, int]]] = {}
 
-    def add(self, key: tuple[object, ...], spec: Submission) -> None:
-        self._needs.setdefault(key, []).append(spec)
+    def add(self, key: tuple[object, ...], spec: Submission, tasks: int = 1) -> None:
+        self._needs.setdefault(key, []).append((spec, tasks))
 
-    def cover(self, key: tuple[object, ...], spec: Submission) -> bool:
+    def cover(self, key: tuple[object, ...], spec: Submission, tasks: int = 1) -> bool:
         return any(
-            failed.cpus <= spec.cpus
+            most <= tasks
+            and failed.cpus <= spec.cpus
             and failed.gpus <= spec.gpus
             and failed.memory_gb <= spec.memory_gb
-            for failed in self._needs.get(key, ())
+            for failed, most in self._needs.get(key, ())
         )
--- a/tests/test_placement_equal.py
+++ b/tests/test_placement_equal.py
@@ -20,6 +20,9 @@
     def _least_urgent(self, cards: bool) -> int:
         return 99
 
+    def _hopeless(self, job: Job, key: tuple[object, ...], missing: int) -> bool:
+        return False
+
 
 class SimplePlacer(Placer):
     """Tries every job on every machine, whatever failed before."""
