--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -34,6 +34,7 @@
 from appleshift.coordination.aims import Aims
 from appleshift.coordination.effects import Delete, Effect, Push, Reply
 from appleshift.coordination.fleet import Fleet
+from appleshift.coordination.pace import Pace
 from appleshift.coordination.placement import Placer
 from appleshift.coordination.room import stop_grace
 from appleshift.protocol import cloud, users, workers
@@ -49,6 +50,10 @@
 LEASE_MARGIN_S = 0.25
 REORDER_S = 1.0
 """A command without visible effect is pushed again after this long."""
+PLACE_SHARE = 0.5
+TICK_SHARE = 0.3
+"""Shares of the time that passes and the look at the fleet may take. Reports,
+on which leases depend, and users' requests are handled between them."""
 PLACE_GAP_S = 0.02
 PLACE_GAP_PER_MACHINE_S = 1e-4
 """A pass looks at every machine: what makes room in between shares the next one."""
@@ -82,7 +87,7 @@
         token: int,
         replay: Replay,
         journal: Journal,
-        now: float,
+        clock: Callable[[], float],
         wall: float,
     ) -> None:
         self.settings = settings
@@ -92,12 +97,16 @@
         self.tables: Tables = replay.tables
         self.journal = journal
         self.effects: deque[Effect] = deque()
+        # Only for how long a duty took; what is decided goes by ``now``.
+        self.clock = clock
+        self.now = now = clock()
         self.started = now
-        self.now = now
         self.wall = wall
         self.dirty = True
         self.placed_at = 0.0
         self.next_tick = now
+        self._placing = Pace(clock, PLACE_SHARE)
+        self._ticking = Pace(clock, TICK_SHARE)
         self.unsaved_finals = list(replay.unsaved_finals)
         self.worker_lease_s = settings.deployment.workers.lease_s * DRIFT + LEASE_MARGIN_S
         self._pushes: set[int] = set()
@@ -649,12 +658,15 @@
     def step(self, now: float, wall: float) -> None:
         """Do what is due: placement, leases, the fleet, commands, snapshots."""
         self.now, self.wall = now, wall
-        if now >= self.next_tick:
+        if now >= self.next_tick and self._ticking.due():
             self.next_tick = now + 0.25
-            self._tick()
+            with self._ticking:
+                self._tick()
         gap = PLACE_GAP_S + PLACE_GAP_PER_MACHINE_S * len(self.tables.machines)
-        if self.dirty and now - self.placed_at >= gap and self.authority.may_write(now):
-            self._place()
+        wanted = self.dirty and now - self.placed_at >= gap and self._placing.due()
+        if wanted and self.authority.may_write(now):
+            with self._placing:
+                self._place()
         if self._doomed:
             self._flush_deletions()
         if self._pushes:
--- a/appleshift/coordination/desk.py
+++ b/appleshift/coordination/desk.py
@@ -23,7 +23,10 @@
 """Users wait 5 s for most answers, workers 4 s; later ones help nobody."""
 FORWARD_S = 1.8
 HOLD_S = 0.4
-MAX_QUEUED = 2000
+MOST_LOAD = {"report": 2.0, "cancel": 1.5, "submit": 1.0, "status": 0.75}
+"""Up to which length of the core's queue, measured in what a node should keep
+waiting, a kind of request is put in it. What waits is answered late, and what
+leases depend on comes first."""
 
 
 def respond(status: int, body: Any, retry_after: int = 0) -> Response:
@@ -44,7 +47,7 @@
         leadership: Leadership,
         siblings: dict[str, Caller],
         post: Callable[..., None],
-        queued: Callable[[], int],
+        load: Callable[[], float],
         reaches: Callable[[str], bool],
         routines: Routines,
     ) -> None:
@@ -53,7 +56,7 @@
         self._leadership = leadership
         self._siblings = siblings
         self._post = post
-        self._queued = queued
+        self._load = load
         self._reaches = reaches
 
     # -- listeners ------------------------------------------------------------
@@ -159,7 +162,7 @@
 
     def _ask(self, kind: str, what: Any) -> Response:
         """Put it to the core and wait for the answer."""
-        if self._queued() > MAX_QUEUED:
+        if self._load() > MOST_LOAD[kind]:
             return unavailable()
         slot = self._routines.mailbox()
         self._post(kind, what, slot)
--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -11,6 +11,7 @@
 from appleshift.coordination.consolidation import Consolidation
 from appleshift.coordination.effects import Rent
 from appleshift.coordination.health import Health
+from appleshift.coordination.pace import Pace
 from appleshift.coordination.placement import Shortage
 from appleshift.coordination.provisioning import Pool
 from appleshift.coordination.room import stop_grace
@@ -25,6 +26,9 @@
 log = logging.getLogger(__name__)
 
 REVIEW_GAP_S = 1.0
+REVIEW_SHARE = 0.1
+"""Of the time, reviews of the plan may take so much: on a controller that falls
+behind, renting ahead is what waits first."""
 SUMMARY_S = 30.0
 
 
@@ -44,6 +48,7 @@
         # (type, zone, spot) -> when to ask again after a refusal, and the pause.
         self.refused: dict[tuple[int, int, bool], tuple[float, float]] = {}
         self.next_review = core.now
+        self._reviewing = Pace(core.clock, REVIEW_SHARE)
         self.next_regroup = core.now + self.operator.regroup_s
         # The chosen spot groups, each of one market: (type, zone).
         self.groups: set[tuple[int, int]] = set()
@@ -247,9 +252,10 @@
         if not self.tables.types or not self.core.authority.may_write(now):
             return
         self.consolidation.step(now)
-        if now >= self.next_review:
+        if now >= self.next_review and self._reviewing.due():
             self.next_review = now + (REVIEW_GAP_S if self.shortages else self.operator.review_s)
-            self._review(now)
+            with self._reviewing:
+                self._review(now)
             self._write_groups(now)
 
     def _market_name(self, market: tuple[int, int]) -> str:
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -20,6 +20,7 @@
 from appleshift.coordination.election import LEADER_KEY, Election, Term
 from appleshift.coordination.leadership import Leadership
 from appleshift.coordination.outbound import CloudCalls, WorkerCalls
+from appleshift.coordination.pace import Capacity
 from appleshift.protocol import users
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Settings, split_address
@@ -31,7 +32,6 @@
 
 IDLE_WAIT_S = 0.1
 BUSY_WAIT_S = 0.02
-MAX_BATCH = 64
 
 
 class Node:
@@ -73,24 +73,21 @@
             mark=f"{settings.name}.{secrets.token_hex(4)}",
             routines=routines,
         )
-        limits = deployment.machine_limits
-        # Workers and users share the greater part of the sockets; direct commands
-        # and siblings have the rest. A connection's routine takes about 50 KB.
-        connections = max(8, int(min(limits.max_sockets * 0.55, limits.memory_mb * 5)))
+        self._capacity = capacity = Capacity.of(deployment.machine_limits)
         self.committer = Committer(self.store, self._post, lambda: self._term, routines)
         self.workers = WorkerCalls(
             self._post,
             connect,
             routines,
-            size=max(4, min(24, connections // 8)),
-            most=max(8, int(limits.max_sockets * 0.3)),
+            size=capacity.calls,
+            most=capacity.clients,
         )
         self.desk = Desk(
             self.election,
             self.leadership,
             siblings,
             self._post,
-            self._events.qsize,
+            lambda: self._events.qsize() / capacity.queued,
             self.workers.reaches,
             routines,
         )
@@ -102,7 +99,6 @@
             deployment.cloud.list_lag_s,
             entitled=lambda: self.leadership.may_answer(routines.now()),
         )
-        self._connections = connections
         self._listeners: list[Listener] = []
 
     # -- life -----------------------------------------------------------------
@@ -111,8 +107,8 @@
         """Open both listeners; OSError if an address cannot be had."""
         settings = self.settings
         for address, app, limit, name in (
-            (settings.cluster_listen, self.desk.cluster, self._connections // 6 + 4, "cluster"),
-            (settings.listen, self.desk.public, self._connections, "listen"),
+            (settings.cluster_listen, self.desk.cluster, self._capacity.peers, "cluster"),
+            (settings.listen, self.desk.public, self._capacity.connections, "listen"),
         ):
             self._listeners.append(Listener(split_address(address), app, limit, name))
 
@@ -165,12 +161,22 @@
         busy = core is not None and (core.dirty or core.journal.backlog() > 0)
         try:
             self._handle(self._events.get(timeout=BUSY_WAIT_S if busy else IDLE_WAIT_S))
-            # No event may be taken out without being handled, or a reply or a
-            # commit's outcome is lost for good.
-            for _ in range(MAX_BATCH):
-                self._handle(self._events.get_nowait())
         except queue.Empty:
-            pass
+            handled = 0
+        else:
+            # What waits by now; no event may be taken out without being handled,
+            # or a reply or a commit's outcome is lost for good.
+            handled = self._events.qsize()
+            for _ in range(handled):
+                self._handle(self._events.get_nowait())
+            handled += 1
+        self._decide()
+        if handled:
+            # What comes meanwhile is handled at once in the next round: to wake
+            # for each event alone costs more than most events do.
+            self.routines.sleep(self._capacity.rest_s)
+
+    def _decide(self) -> None:
         core = self._core
         if core is None:
             return
@@ -282,7 +288,7 @@
             term.token,
             replay,
             journal,
-            now,
+            self.routines.now,
             self.routines.wall(),
         )
         self._term = term
--- a/appleshift/protocol/settings.py
+++ b/appleshift/protocol/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from pathlib import Path
 
@@ -126,10 +127,13 @@
         "deployment.state.txn_ops": deployment.state.txn_ops,
         "deployment.cloud.rps": deployment.cloud.rps,
         "deployment.machine_limits.max_sockets": deployment.machine_limits.max_sockets,
+        "deployment.machine_limits.core_share": deployment.machine_limits.core_share,
+        "deployment.machine_limits.memory_mb": deployment.machine_limits.memory_mb,
     }
     for where, value in positive.items():
-        if not value > 0:
-            raise ValueError(f"{where} must be above 0, not {value}")
+        # A comparison with what is not a number is never true.
+        if not 0 < value < math.inf:
+            raise ValueError(f"{where} must be a number above 0, not {value}")
     if deployment.state.value_kb < MIN_VALUE_KB:
         raise ValueError(f"deployment.state.value_kb must be at least {MIN_VALUE_KB}")
     names = [settings.name, *(sibling.name for sibling in settings.siblings)]
--- a/appleshift/transport/server.py
+++ b/appleshift/transport/server.py
@@ -4,8 +4,10 @@
 
 import http
 import logging
+import math
 import socket
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -14,9 +16,15 @@
 log = logging.getLogger(__name__)
 
 IDLE_S = 30.0
-"""A connection on which nothing comes for this long is closed, be it between
-requests or within one. One bound for both: changing it costs two system calls a
-request, which hundreds of reporting workers make felt."""
+"""A connection on which no request begins for this long is closed."""
+REQUEST_S = 5.0
+"""So long may a request take from its first line to its last byte."""
+ANSWER_S = 10.0
+"""So long may an answer take, until its receiver has accepted it."""
+SWEEP_S = 1.0
+CROWDED_IDLE_S = 5.0
+"""If there is no place for another connection, one that was idle for this long
+loses its own: those who report keep theirs in a flood of those who do not."""
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 REASONS = {status.value: status.phrase for status in http.HTTPStatus}
@@ -47,13 +55,21 @@
     # Buffered, so that head and body leave in one packet.
     wbufsize = -1
     disable_nagle_algorithm = True
-    timeout = IDLE_S
+    # Without a timeout of the socket, which costs a system call for every read
+    # and write: the listener closes what takes too long.
+    timeout = None
     app: App
+    server: Listener
     raw_requestline: bytes
 
+    def handle_one_request(self) -> None:
+        self.server.expect(self.connection, IDLE_S, idle=True)
+        super().handle_one_request()
+
     def parse_request(self) -> bool:
         """Read the head. ``http.server`` parses it as if it were mail, which
         took a third of the time that a worker's report costs."""
+        self.server.expect(self.connection, REQUEST_S)
         self.requestline = self.raw_requestline.decode("latin-1").rstrip("\r\n")
         self.close_connection = True
         words = self.requestline.split()
@@ -93,6 +109,7 @@
     def _serve(self) -> None:
         body = self._read_body()
         if body is not None:
+            self.server.expect(self.connection, ANSWER_S)
             self._send(self.app(Request(self.command, self.path, body)))
 
     do_GET = do_POST = do_DELETE = do_PUT = do_HEAD = do_PATCH = do_OPTIONS = _serve  # noqa: N815
@@ -144,8 +161,22 @@
         log.debug(format, *args)
 
 
+@dataclass(slots=True)
+class _Wait:
+    """What a connection waits for, and until when it may."""
+
+    since: float
+    until: float
+    idle: bool
+
+
 class Listener(ThreadingHTTPServer):
-    """Accepts connections up to a limit; beyond it they are closed at once."""
+    """Accepts connections up to a limit; beyond it they are closed at once.
+
+    One that waits too long, for a request, the rest of one or the taking of an
+    answer, is closed from the accepting routine: it looks at all of them about
+    once a second.
+    """
 
     daemon_threads = True
     block_on_close = False
@@ -155,7 +186,9 @@
     def __init__(self, address: tuple[str, int], app: App, limit: int, name: str) -> None:
         self._slots = threading.BoundedSemaphore(limit)
         self._name = name
-        self._open: set[socket.socket] = set()
+        # Of the open connections; each is written by its own routine only.
+        self._waits: dict[socket.socket, _Wait] = {}
+        self._next_sweep = 0.0
         handler = type("BoundHandler", (Handler,), {"app": staticmethod(app)})
         super().__init__(address, handler)
 
@@ -166,9 +199,17 @@
         self.server_address = self.socket.getsockname()
         self.server_name, self.server_port = str(self.server_address[0]), self.server_address[1]
 
+    def expect(self, connection: socket.socket, within_s: float, idle: bool = False) -> None:
+        now = time.monotonic()
+        self._waits[connection] = _Wait(now, now + within_s, idle)
+
+    def connections(self) -> int:
+        return len(self._waits)
+
     def process_request(self, request: Any, client_address: Any) -> None:
         if not self._slots.acquire(blocking=False):
             self.shutdown_request(request)
+            self._make_place()
             return
         try:
             super().process_request(request, client_address)
@@ -178,13 +219,39 @@
             self.shutdown_request(request)
 
     def process_request_thread(self, request: Any, client_address: Any) -> None:
-        self._open.add(request)
+        self.expect(request, IDLE_S, idle=True)
         try:
             super().process_request_thread(request, client_address)
         finally:
-            self._open.discard(request)
+            self._waits.pop(request, None)
             self._slots.release()
 
+    def service_actions(self) -> None:
+        """Called between accepted connections, and a few times a second without any."""
+        now = time.monotonic()
+        if now < self._next_sweep:
+            return
+        self._next_sweep = now + SWEEP_S
+        for connection, wait in list(self._waits.items()):
+            if now > wait.until:
+                log.debug("closing a connection that waits too long")
+                self._break(connection)
+
+    def _make_place(self) -> None:
+        """Whoever comes next finds one, if a connection is idle for long."""
+        idle = [(wait.since, each) for each, wait in list(self._waits.items()) if wait.idle]
+        since, oldest = min(idle, key=lambda entry: entry[0], default=(math.inf, None))
+        if oldest is not None and time.monotonic() - since > CROWDED_IDLE_S:
+            self._break(oldest)
+
+    @staticmethod
+    def _break(connection: socket.socket) -> None:
+        """Its routine, blocked in a read or a write, ends and cleans up."""
+        try:
+            connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            log.debug("connection was closed already")
+
     def handle_error(self, request: Any, client_address: Any) -> None:
         # Connections that break off or time out are everyday events.
         log.debug("connection from %s failed", client_address, exc_info=True)
@@ -198,8 +265,5 @@
         """Stop accepting and end the open connections."""
         self.shutdown()
         self.server_close()
-        for connection in list(self._open):
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                log.debug("connection was closed already")
+        for connection in list(self._waits):
+            self._break(connection)
