--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -32,8 +32,9 @@
     type_fits,
 )
 from appleshift.coordination.aims import Aims
-from appleshift.coordination.effects import Delete, Effect, Push, Reply
+from appleshift.coordination.effects import Delete, Effect, Reply
 from appleshift.coordination.fleet import Fleet
+from appleshift.coordination.orders import REORDER_S, Orders
 from appleshift.coordination.pace import Pace
 from appleshift.coordination.placement import Placer
 from appleshift.coordination.room import stop_grace
@@ -48,8 +49,6 @@
 DRIFT = 1.002
 """Steady clocks differ by a fraction of this; all bounds on leases count it."""
 LEASE_MARGIN_S = 0.25
-REORDER_S = 1.0
-"""A command without visible effect is pushed again after this long."""
 PLACE_SHARE = 0.5
 TICK_SHARE = 0.3
 """Shares of the time that passes and the look at the fleet may take. Reports,
@@ -62,8 +61,7 @@
 PLACE_LAG_S = 1.0
 SNAPSHOT_LAG_S = 0.1
 """Placement, then snapshots, leave the log to what users wait for."""
-MAX_COMMANDS = 400
-"""A worker's answer is limited to 64 KiB; the rest follows with the next one."""
+
 
 FINAL_NAMES = {FINISHED: users.DONE, CANCELLED: users.CANCELLED}
 
@@ -113,7 +111,7 @@
         self._ticking = Pace(clock, TICK_SHARE)
         self.unsaved_finals = list(replay.unsaved_finals)
         self.worker_lease_s = settings.deployment.workers.lease_s * DRIFT + LEASE_MARGIN_S
-        self._pushes: set[int] = set()
+        self.orders = Orders(self)
         self.aims = Aims(settings.deployment.objectives)
         self._doomed: list[str] = []
         self._waiting: dict[int, Any] = {}
@@ -357,7 +355,7 @@
         run.grace = grace
         log.debug("stopping %s: %s", run.name, reason)
         run.stopped_at = self.now
-        self._pushes.add(run.machine.index)
+        self.orders.due(run.machine)
 
     def stop_gang(self, job: Job, grace: float, reason: str) -> None:
         """All tasks of a gang are told in the same moment, or the save fails."""
@@ -433,13 +431,12 @@
         if machine is None or report.session < machine.session:
             self.reply(slot, 503, users.error_body("machine not known here"))
             return
-        self._observe(machine, report)
+        self.observe(machine, report)
         if slot is not None:
             # The worker counts its lease from when it sent this report, which
             # is earlier than now: this bound is on the safe side.
             machine.lease_until = self.now + self.worker_lease_s
-            self._pushes.discard(machine.index)
-            commands, _ = self.orders(machine, again=True)
+            commands = self.orders.answer(machine)
             self.reply(slot, 200, workers.answer(self.token, commands))
 
     def _machine_of(self, report: Report) -> Machine | None:
@@ -448,7 +445,7 @@
             machine = self.fleet.adopt(report)
         return machine
 
-    def _observe(self, machine: Machine, report: Report) -> None:
+    def observe(self, machine: Machine, report: Report) -> None:
         if report.session > machine.session:
             if machine.session:
                 log.info("machine %s moved to session %d", machine.name, report.session)
@@ -511,7 +508,7 @@
             return
         run.state = state
         if before == ORDERED and run.grace is not None:
-            self._pushes.add(machine.index)
+            self.orders.due(machine)
         if state in (RUNNING, WAITING) and run.running_since == 0.0:
             run.running_since = self.now
             spec = run.job.spec
@@ -540,7 +537,7 @@
         exited = entry.state == workers.EXITED
         if key not in machine.strays:
             log.info("stray %s attempt %d on %s", entry.task, entry.attempt, machine.name)
-            self._pushes.add(machine.index)
+            self.orders.due(machine)
         machine.strays[key] = exited
 
     def session_over(self, machine: Machine) -> None:
@@ -556,105 +553,12 @@
             self.free(freed, exited=False)
         machine.idle_since = self.now
 
-    def orders(
-        self, machine: Machine, again: bool
-    ) -> tuple[list[dict[str, Any]], tuple[tuple[str, int], ...]]:
-        """Commands for a worker; all of them can be repeated.
-
-        ``again`` repeats what was sent before: answers to reports do, since
-        the report shows what has not arrived yet.
-        """
-        commands: list[dict[str, Any]] = []
-        starts: list[tuple[str, int]] = []
-        cancel_s = self.settings.deployment.workers.cancel_s
-        for key, run in machine.runs.items():
-            if len(commands) >= MAX_COMMANDS:
-                break
-            if run.session != machine.session or not run.durable:
-                continue
-            if run.state == EXITED:
-                if run.exit_durable and not run.uncertain:
-                    commands.append(workers.clear(run.name, run.attempt))
-                continue
-            if run.state == ORDERED:
-                if run.grace is not None and not run.mine:
-                    # An earlier leader's start, perhaps of a job cancelled long
-                    # ago: the worker's next reports show it, or that it is void.
-                    continue
-                if run.grace is not None and self.now - run.stopped_at > cancel_s * 0.5:
-                    # Too late to start anything of a cancelled job: if the
-                    # start does not show itself, the machine is given up.
-                    continue
-                if again or run.grace is not None or not run.pushed:
-                    commands.append(workers.start(run.name, run.attempt))
-                    starts.append(key)
-                    run.pushed = run.mine = True
-                if run.grace is not None:
-                    # Started and ended at once: the worker then knows the
-                    # attempt, and a start still under way does nothing.
-                    commands.append(workers.stop(run.name, run.attempt, 0.0))
-                continue
-            if run.grace is not None:
-                commands.append(workers.stop(run.name, run.attempt, run.grace))
-        for (name, attempt), exited in machine.strays.items():
-            if len(commands) >= MAX_COMMANDS:
-                break
-            if exited:
-                commands.append(workers.clear(name, attempt))
-            else:
-                commands.append(workers.stop(name, attempt, 0.0))
-        return commands, tuple(starts)
-
-    def pushed(
-        self,
-        name: str,
-        session: int,
-        starts: tuple[tuple[str, int], ...],
-        outcome: str,
-        report: Report | None,
-    ) -> None:
-        """What became of a direct command: ``done``, ``refused`` or ``unknown``."""
-        machine = self.tables.machine(name)
-        if machine is None:
-            return
-        machine.pushing = False
-        for key in starts:
-            run = machine.runs.get(key)
-            if run is not None and run.session == session:
-                run.uncertain -= outcome != "unknown"
-        if report is not None and report.machine == name and report.session >= machine.session:
-            self._observe(machine, report)
-        if outcome == "unknown":
-            # As good as an unanswered probe.
-            machine.probe += 1
-        if outcome != "done":
-            machine.failed_until = max(machine.failed_until, self.now + REORDER_S)
-
     def probed(self, name: str, report: Report | None) -> None:
         """A silent worker answered a probe, or did not."""
         self.fleet.health.probed(name, report is not None)
         machine = self.tables.machine(name)
         if machine is not None and report is not None and report.session >= machine.session:
-            self._observe(machine, report)
-
-    def _push_orders(self) -> None:
-        if not self.authority.may_answer(self.now):
-            return
-        for index in list(self._pushes):
-            machine = self.tables.machines.get(index)
-            if machine is None or machine.asked_gone or not machine.addr or not machine.session:
-                self._pushes.discard(index)
-                continue
-            if machine.pushing:
-                continue
-            self._pushes.discard(index)
-            commands, starts = self.orders(machine, again=False)
-            if not commands:
-                continue
-            for key in starts:
-                machine.runs[key].uncertain += 1
-            machine.pushing = True
-            self.effects.append(Push(machine.name, machine.addr, machine.session, commands, starts))
+            self.observe(machine, report)
 
     # -- time -----------------------------------------------------------------------
 
@@ -672,8 +576,7 @@
                 self._place()
         if self._doomed:
             self._flush_deletions()
-        if self._pushes:
-            self._push_orders()
+        self.orders.send()
 
     def _tick(self) -> None:
         for machine in list(self.tables.machines.values()):
@@ -690,7 +593,7 @@
                 elif self.now - run.stopped_at > cancel_s * 0.6:
                     self.fleet.give_up(run.machine, "a cancelled task does not end")
                 elif run.machine.last_heard > self.now - 3 * REORDER_S:
-                    self._pushes.add(run.machine.index)
+                    self.orders.due(run.machine)
         if self.authority.may_answer(self.now):
             # A leader that was cut off knows nothing of its machines: once one
             # ordered 425 deletions, which arrived when the cut was over.
@@ -731,7 +634,7 @@
             def durable(runs: list[Run] = runs, machine: Machine = machine) -> None:
                 for run in runs:
                     run.durable = True
-                self._pushes.add(machine.index)
+                self.orders.due(machine)
 
             self.write(
                 records.assign_records(
--- /dev/null
+++ b/appleshift/coordination/orders.py
@@ -0,0 +1,139 @@
+"""What workers are told: in answers to their reports, and directly.
+
+All commands can be repeated; what is ordered again and again is therefore
+worked out from the tables each time rather than kept in a queue.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from appleshift.bookkeeping.tables import EXITED, ORDERED, Machine
+from appleshift.coordination.effects import Push
+from appleshift.protocol import workers
+from appleshift.protocol.workers import Report
+
+if TYPE_CHECKING:
+    from appleshift.coordination.core import Core
+
+REORDER_S = 1.0
+"""A command without visible effect is pushed again after this long."""
+MAX_COMMANDS = 400
+"""A worker's answer is limited to 64 KiB; the rest follows with the next one."""
+
+
+class Orders:
+    """Part of the core: the machines that have something to be told."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        self._due: set[int] = set()
+
+    def __len__(self) -> int:
+        return len(self._due)
+
+    def due(self, machine: Machine) -> None:
+        """Do not wait for this machine's next report."""
+        self._due.add(machine.index)
+
+    def answer(self, machine: Machine) -> list[dict[str, Any]]:
+        """Commands for the answer to a report: all of them, for the report
+        shows what has not arrived yet."""
+        self._due.discard(machine.index)
+        return self._commands(machine, again=True)[0]
+
+    def _commands(
+        self, machine: Machine, again: bool
+    ) -> tuple[list[dict[str, Any]], tuple[tuple[str, int], ...]]:
+        """Commands for a worker; all of them can be repeated.
+
+        ``again`` repeats what was sent before: answers to reports do, since
+        the report shows what has not arrived yet.
+        """
+        commands: list[dict[str, Any]] = []
+        starts: list[tuple[str, int]] = []
+        cancel_s = self._core.settings.deployment.workers.cancel_s
+        for key, run in machine.runs.items():
+            if len(commands) >= MAX_COMMANDS:
+                break
+            if run.session != machine.session or not run.durable:
+                continue
+            if run.state == EXITED:
+                if run.exit_durable and not run.uncertain:
+                    commands.append(workers.clear(run.name, run.attempt))
+                continue
+            if run.state == ORDERED:
+                if run.grace is not None and not run.mine:
+                    # An earlier leader's start, perhaps of a job cancelled long
+                    # ago: the worker's next reports show it, or that it is void.
+                    continue
+                if run.grace is not None and self._core.now - run.stopped_at > cancel_s * 0.5:
+                    # Too late to start anything of a cancelled job: if the
+                    # start does not show itself, the machine is given up.
+                    continue
+                if again or run.grace is not None or not run.pushed:
+                    commands.append(workers.start(run.name, run.attempt))
+                    starts.append(key)
+                    run.pushed = run.mine = True
+                if run.grace is not None:
+                    # Started and ended at once: the worker then knows the
+                    # attempt, and a start still under way does nothing.
+                    commands.append(workers.stop(run.name, run.attempt, 0.0))
+                continue
+            if run.grace is not None:
+                commands.append(workers.stop(run.name, run.attempt, run.grace))
+        for (name, attempt), exited in machine.strays.items():
+            if len(commands) >= MAX_COMMANDS:
+                break
+            if exited:
+                commands.append(workers.clear(name, attempt))
+            else:
+                commands.append(workers.stop(name, attempt, 0.0))
+        return commands, tuple(starts)
+
+    def pushed(
+        self,
+        name: str,
+        session: int,
+        starts: tuple[tuple[str, int], ...],
+        outcome: str,
+        report: Report | None,
+    ) -> None:
+        """What became of a direct command: ``done``, ``refused`` or ``unknown``."""
+        machine = self._core.tables.machine(name)
+        if machine is None:
+            return
+        machine.pushing = False
+        for key in starts:
+            run = machine.runs.get(key)
+            if run is not None and run.session == session:
+                run.uncertain -= outcome != "unknown"
+        if report is not None and report.machine == name and report.session >= machine.session:
+            self._core.observe(machine, report)
+        if outcome == "unknown":
+            # As good as an unanswered probe.
+            machine.probe += 1
+        if outcome != "done":
+            machine.failed_until = max(machine.failed_until, self._core.now + REORDER_S)
+
+    def send(self) -> None:
+        """Tell workers at once what their next report would tell them later."""
+        if not self._due or not self._core.authority.may_answer(self._core.now):
+            return
+        for index in list(self._due):
+            machine = self._core.tables.machines.get(index)
+            if machine is None or machine.asked_gone or not machine.addr or not machine.session:
+                self._due.discard(index)
+                continue
+            if machine.pushing:
+                continue
+            self._due.discard(index)
+            commands, starts = self._commands(machine, again=False)
+            if not commands:
+                continue
+            for key in starts:
+                machine.runs[key].uncertain += 1
+            machine.pushing = True
+            self._core.effects.append(
+                Push(machine.name, machine.addr, machine.session, commands, starts)
+            )
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -238,7 +238,7 @@
             self._end()
             self.election.depose()
         elif kind == "pushed":
-            core.pushed(*event[2:])
+            core.orders.pushed(*event[2:])
         elif kind == "probed":
             core.probed(event[2], event[3])
         elif kind == "types":
