--- a/appleshift/coordination/pace.py
+++ b/appleshift/coordination/pace.py
@@ -8,11 +8,16 @@
 
 from __future__ import annotations
 
+import logging
+import resource
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from appleshift.protocol.settings import MachineLimits
 
+log = logging.getLogger(__name__)
+
 EVENTS_A_CORE_S = 2000
 """Requests that a whole core answers in a second: 0.5 ms each, measured on
 loopback with workers' reports."""
@@ -26,6 +31,9 @@
 """Stack and buffers of a connection's routine; measured: half of this."""
 CONNECTIONS_SHARE = 0.5
 """Of the memory, connections may take this much."""
+LOAD_GAP_S = 30.0
+SHORT = 0.85
+"""Of its processor or memory; above it, a node says that it is short."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,3 +90,35 @@
     def __exit__(self, *_: object) -> None:
         now = self._clock()
         self._next = now + (now - self._began) * self._pause
+
+
+class Load:
+    """Says in the log, twice a minute at most, whether a node is short of something."""
+
+    def __init__(self, limits: MachineLimits, capacity: Capacity, now: float) -> None:
+        self._limits = limits
+        self._capacity = capacity
+        self._at = now
+        self._used = time.process_time()
+        self._most_queued = 0
+
+    def look(self, now: float, queued: int, connections: int) -> None:
+        self._most_queued = max(self._most_queued, queued)
+        if now - self._at < LOAD_GAP_S:
+            return
+        used = time.process_time()
+        memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000
+        self.say((used - self._used) / (now - self._at), memory, connections)
+        self._at, self._used, self._most_queued = now, used, 0
+
+    def say(self, cores: float, memory_mb: float, connections: int) -> None:
+        limits, most = self._limits, self._capacity
+        log.info(
+            "load: %.2f of %.2f cores, %.0f of %.0f MB, %d of %d connections, %d of %d queued",
+            *(cores, limits.core_share, memory_mb, limits.memory_mb),
+            *(connections, most.connections, self._most_queued, most.queued),
+        )
+        if cores > SHORT * limits.core_share or self._most_queued > most.queued:
+            log.warning("short of processor: answers and placement come late")
+        if memory_mb > SHORT * limits.memory_mb:
+            log.warning("short of memory: close to being ended for it")
--- a/appleshift/coordination/scaling.py
+++ b/appleshift/coordination/scaling.py
@@ -56,67 +56,66 @@
     return range(max(current, spare + 1), min(current + others, max(max_groups, current)) + 1)
 
 
-def mix(
-    required: float,
-    steady: int,
-    steady_price: float,
-    current: list[Market],
-    others: list[Market],
-    spare: int,
-    count: int,
-) -> Plan | None:
-    """A given number of steady machines and of groups, if so many are eligible."""
-    quota = max(0.0, required - steady) / (count - spare)
-    eligible = []
-    for market in others:
-        machines = machines_for(quota, market.units)
-        if market.price <= highest_price(required, steady, steady_price, count, machines):
-            eligible.append((machines * market.price, market.kind, market.zone, market))
-    wanted = count - len(current)
-    if len(eligible) < wanted:
-        return None
-    eligible.sort(key=lambda entry: entry[:3])
-    groups = []
-    missing, cost = required - steady, steady * steady_price
-    for market in [*current, *(entry[3] for entry in eligible[:wanted])]:
-        machines = int(min(machines_for(quota, market.units), market.most))
-        if machines:
-            groups.append((market, machines))
-        missing -= machines * market.units
-        cost += machines * market.price
-    extra = machines_for(missing, 1.0)
-    return Plan(steady + extra, tuple(groups), cost + extra * steady_price)
-
-
-def same_until(
-    required: float,
-    steady: int,
-    steady_price: float,
-    current: list[Market],
-    others: list[Market],
-    spare: int,
-    count: int,
-) -> int:
-    """The next number of steady machines at which a mix of so many groups changes.
-
-    Until a group loses a machine or a market its eligibility, one more steady
-    machine saves at most the one that makes up what the groups lack: no plan
-    in between is cheaper than the first.
-    """
-    quota = max(0.0, required - steady) / (count - spare)
-    changes = []
-    for market in (*current, *others):
-        machines = machines_for(quota, market.units)
-        if machines:
-            changes.append(required - (machines - 1) * market.units * (count - spare))
-    every = machines_for(required, 1.0)
-    for market in others if steady_price > 0 else ():
-        taken = machines_for(quota, market.units) * count * market.price
-        dear_from = every - taken / steady_price
-        if taken and dear_from >= steady:
-            changes.append(dear_from)
-    # Rounded down by a hair: a step too short costs time, one too long a plan.
-    return max(steady + 1, math.ceil(min(changes, default=every + 1) - 1e-6))
+@dataclass(frozen=True, slots=True)
+class Mixes:
+    """All that plans for a required capacity are made of."""
+
+    required: float
+    steady_price: float
+    current: list[Market]
+    """Groups there are, which stay."""
+    others: list[Market]
+    spare: int
+
+    def quota(self, steady: int, count: int) -> float:
+        return max(0.0, self.required - steady) / (count - self.spare)
+
+    def mix(self, steady: int, count: int) -> Plan | None:
+        """A given number of steady machines and of groups, if so many are eligible."""
+        required, price = self.required, self.steady_price
+        quota = self.quota(steady, count)
+        eligible = []
+        for market in self.others:
+            machines = machines_for(quota, market.units)
+            if market.price <= highest_price(required, steady, price, count, machines):
+                eligible.append((machines * market.price, market.kind, market.zone, market))
+        wanted = count - len(self.current)
+        if len(eligible) < wanted:
+            return None
+        eligible.sort(key=lambda entry: entry[:3])
+        groups = []
+        missing, cost = required - steady, steady * price
+        for market in [*self.current, *(entry[3] for entry in eligible[:wanted])]:
+            machines = int(min(machines_for(quota, market.units), market.most))
+            if machines:
+                groups.append((market, machines))
+            missing -= machines * market.units
+            cost += machines * market.price
+        extra = machines_for(missing, 1.0)
+        return Plan(steady + extra, tuple(groups), cost + extra * price)
+
+    def same_until(self, steady: int, count: int) -> int:
+        """The next number of steady machines at which a mix of so many groups changes.
+
+        Until a group loses a machine or a market its eligibility, one more steady
+        machine saves at most the one that makes up what the groups lack: no plan
+        in between is cheaper than the first.
+        """
+        quota = self.quota(steady, count)
+        changes = []
+        for market in (*self.current, *self.others):
+            machines = machines_for(quota, market.units)
+            if machines:
+                left = (machines - 1) * market.units * (count - self.spare)
+                changes.append(self.required - left)
+        every = machines_for(self.required, 1.0)
+        for market in self.others if self.steady_price > 0 else ():
+            taken = machines_for(quota, market.units) * count * market.price
+            dear_from = every - taken / self.steady_price
+            if taken and dear_from >= steady:
+                changes.append(dear_from)
+        # Rounded down by a hair: a step too short costs time, one too long a plan.
+        return max(steady + 1, math.ceil(min(changes, default=every + 1) - 1e-6))
 
 
 def least_cost(required: float, steady: int, steady_price: float, markets: list[Market]) -> float:
@@ -152,6 +151,7 @@
     every = max(machines_for(required, 1.0), floor)
     best: Plan | None = None
     markets = [*current, *others]
+    mixes = Mixes(required, steady_price, current, others, spare)
     due = dict.fromkeys(group_counts(len(current), len(others), spare, max_groups), floor)
     steady = floor
     while due and steady <= every:
@@ -161,10 +161,9 @@
             # only grows, since a steady machine replaces what costs no more.
             break
         for count in [count for count, at in due.items() if at <= steady]:
-            given = (required, steady, steady_price, current, others, spare, count)
-            plan = mix(*given)
+            plan = mixes.mix(steady, count)
             if plan is not None and (best is None or plan.cost < best.cost - 1e-9):
                 best = plan
-            due[count] = same_until(*given)
+            due[count] = mixes.same_until(steady, count)
         steady = min(due.values())
     return best or Plan(every, (), every * steady_price)
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -20,7 +20,7 @@
 from appleshift.coordination.election import LEADER_KEY, Election, Term
 from appleshift.coordination.leadership import Leadership
 from appleshift.coordination.outbound import CloudCalls, WorkerCalls
-from appleshift.coordination.pace import Capacity
+from appleshift.coordination.pace import Capacity, Load
 from appleshift.protocol import users
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Settings, split_address
@@ -99,6 +99,7 @@
             deployment.cloud.list_lag_s,
             entitled=lambda: self.leadership.may_answer(routines.now()),
         )
+        self._load = Load(deployment.machine_limits, capacity, routines.now())
         self._listeners: list[Listener] = []
 
     # -- life -----------------------------------------------------------------
@@ -166,11 +167,12 @@
         else:
             # What waits by now; no event may be taken out without being handled,
             # or a reply or a commit's outcome is lost for good.
-            handled = self._events.qsize()
-            for _ in range(handled):
+            handled = 1 + self._events.qsize()
+            for _ in range(handled - 1):
                 self._handle(self._events.get_nowait())
-            handled += 1
         self._decide()
+        open_connections = self._listeners[-1].connections() if self._listeners else 0
+        self._load.look(self.routines.now(), handled, open_connections)
         if handled:
             # What comes meanwhile is handled at once in the next round: to wake
             # for each event alone costs more than most events do.
--- /dev/null
+++ b/tests/test_pace.py
@@ -0,0 +1,85 @@
+"""What a node takes on, by its own limits, and what it sheds first."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+import pytest
+
+from appleshift.coordination.desk import Desk
+from appleshift.coordination.pace import Capacity, Load, Pace
+from appleshift.protocol.settings import MachineLimits
+from appleshift.transport.routines import Threads
+from appleshift.transport.server import Request
+from tests.make import submission
+
+
+def test_bounds_follow_the_nodes_own_share_and_limits() -> None:
+    small = Capacity.of(MachineLimits(core_share=0.05, memory_mb=64.0, max_sockets=300))
+    large = Capacity.of(MachineLimits(core_share=1.0, memory_mb=512.0, max_sockets=4000))
+    for name in ("connections", "peers", "clients", "queued"):
+        assert getattr(small, name) < getattr(large, name)
+    assert small.rest_s > large.rest_s
+    for each, sockets in ((small, 300), (large, 4000)):
+        assert each.connections + each.peers + each.calls + each.clients < sockets
+
+
+def test_a_node_says_when_it_is_short_of_processor_or_memory(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    limits = MachineLimits(core_share=0.25, memory_mb=100.0)
+    load = Load(limits, Capacity.of(limits), now=0.0)
+    load.say(0.1, 50.0, 20)
+    assert "short" not in caplog.text
+    load.say(0.24, 50.0, 20)
+    assert "short of processor" in caplog.text
+    assert "short of memory" not in caplog.text
+    load.say(0.1, 95.0, 20)
+    assert "short of memory" in caplog.text
+    caplog.clear()
+    load.look(1.0, 10_000, 20)
+    assert caplog.text == ""
+    load.look(40.0, 3, 20)
+    assert "short of processor" in caplog.text, "more waited than may"
+
+
+def test_a_duty_that_takes_longer_comes_less_often() -> None:
+    clock = SimpleNamespace(now=0.0)
+    pace = Pace(lambda: clock.now, share=0.25)
+    for took in (0.01, 0.4):
+        assert pace.due()
+        with pace:
+            clock.now += took
+        clock.now += 2.9 * took
+        assert not pace.due()
+        clock.now += 0.2 * took
+
+
+def test_users_are_shed_before_workers_and_told_when_to_come_back() -> None:
+    load = SimpleNamespace(now=0.0)
+    node: Any = SimpleNamespace(name="n0", current_leader=lambda: "n0", leading=True)
+    node.may_answer = lambda now: True
+
+    def core(kind: str, what: Any, slot: Any) -> None:
+        slot.put((200, {}, 0))
+
+    desk = Desk(node, node, {}, core, lambda: load.now, lambda addr: True, Threads())
+    report = {"rig": "m", "addr": "a:1", "rig_kind": "t", "yard": "a", "loaners": False,
+              "shift": 1, "tally": 1, "baton": 1, "pieces": []}  # fmt: skip
+    requests = {
+        "poll": Request("GET", "/submissions/job-000001", b""),
+        "submit": Request("POST", "/submissions", msgspec.msgpack.encode(submission())),
+        "cancel": Request("POST", "/submissions/job-000001/abort", b""),
+        "report": Request("POST", "/agent/beat", msgspec.msgpack.encode(report)),
+    }
+    shed = []
+    for load.now in (0.5, 0.9, 1.2, 1.8, 2.5):
+        answers = {name: desk.public(request) for name, request in requests.items()}
+        shed.append({name for name, answer in answers.items() if answer.status == 503})
+        for answer in answers.values():
+            assert answer.status == 200 or answer.headers["Retry-After"] == "1"
+    assert shed == [
+        set(), {"poll"}, {"poll", "submit"}, {"poll", "submit", "cancel"}, set(requests),
+    ]  # fmt: skip
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,10 +8,9 @@
 import pytest
 
 from appleshift.cli import main
-from appleshift.coordination.pace import Capacity
 from appleshift.node import Node
 from appleshift.protocol.operator import OperatorSettings, load_operator_settings
-from appleshift.protocol.settings import MachineLimits, Settings, SettingsError, load_settings
+from appleshift.protocol.settings import Settings, SettingsError, load_settings
 from tests.sites import SMALL
 
 ROOT = Path(__file__).parent.parent
@@ -136,13 +135,3 @@
     path = write(tmp_path, f"{GOOD}[deployment.machine_limits]\n{line}\n")
     assert main(["check", str(path)]) == 2
     assert f"machine_limits.{line.split()[0]} must be a number above 0" in capsys.readouterr().err
-
-
-def test_bounds_follow_the_nodes_own_share_and_limits() -> None:
-    small = Capacity.of(MachineLimits(core_share=0.05, memory_mb=64.0, max_sockets=300))
-    large = Capacity.of(MachineLimits(core_share=1.0, memory_mb=512.0, max_sockets=4000))
-    for name in ("connections", "peers", "clients", "queued"):
-        assert getattr(small, name) < getattr(large, name)
-    assert small.rest_s > large.rest_s
-    for each, sockets in ((small, 300), (large, 4000)):
-        assert each.connections + each.peers + each.calls + each.clients < sockets
