--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -97,6 +97,7 @@
         "done_count",
         "done_durable",
         "errors_on",
+        "held_since",
         "image",
         "index",
         "not_before",
@@ -131,6 +132,8 @@
         self.avoid: dict[int, float] = {}
         self.backoff_s = 0.0
         self.not_before = 0.0
+        # Since when its replicas wait for room where their image is.
+        self.held_since = 0.0
         # Run times of its finished tasks, to compare machines by.
         self.ran_s = 0.0
         self.ran_count = 0
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -650,6 +650,8 @@
             else:
                 self.stop(run, grace, "preempt")
         self.fleet.shortages = result.shortages
+        # Whoever waits for room that is being made is looked at again soon.
+        self.dirty = self.dirty or result.held > 0
 
     # -- the cloud's answers -----------------------------------------------------------
 
--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -14,6 +14,13 @@
 from appleshift.coordination.preemption import Preemption
 from appleshift.coordination.room import Failures, how_many, zone_room
 
+SLOW_FETCH = 4 / 3
+"""Machines fetch images at their rate, give or take a third."""
+HOLD_S = 1.5
+"""So long may a replica wait for room that is being made where its image is."""
+HOLD_AGAIN_S = 10.0
+"""A later loss of the same job's replicas is another matter."""
+
 
 @dataclass(slots=True)
 class Placement:
@@ -38,6 +45,8 @@
     placements: list[Placement] = field(default_factory=list)
     shortages: list[Shortage] = field(default_factory=list)
     victims: list[Run] = field(default_factory=list)
+    held: int = 0
+    """Replicas for which room is being made on a machine with their image."""
 
 
 class Placer:
@@ -75,6 +84,7 @@
         self._beside: dict[int, tuple[float, float]] | None = None
         self._none_beside = Failures()
         self._late: dict[int, int] = {}
+        self._preempt = False
         self.preemption = Preemption(self)
 
     def order(self) -> list[Job]:
@@ -200,6 +210,7 @@
     # -- a pass ---------------------------------------------------------------
 
     def run(self, preempt: bool) -> Pass:
+        self._preempt = preempt
         for job in self.order():
             missing = self._place_gang(job) if job.gang else self._place_tasks(job)
             if missing:
@@ -236,11 +247,16 @@
             return len(job.pending)
         waiting = sorted(job.pending)
         position = 0
-        while position < len(waiting):
-            placed = self._round(job, machines, waiting[position:], self._how_many)
-            position += placed
-            if not placed or not job.service:
-                break
+        if job.service and self._preempt:
+            prompt = [machine for machine in machines if self._prompt(job, machine)]
+            position = self._place_replicas(job, prompt, waiting)
+            if position < len(waiting):
+                held = self._hold(job, len(waiting) - position)
+                waiting = waiting[: len(waiting) - held]
+        if job.service:
+            position += self._place_replicas(job, machines, waiting[position:])
+        else:
+            position += self._round(job, machines, waiting, self._how_many)
         if position < len(waiting) and beside:
             position += self._round(job, beside, waiting[position:], self._room_beside)
         missing = len(waiting) - position
@@ -248,6 +264,41 @@
             return 0
         return missing
 
+    def _place_replicas(self, job: Job, machines: list[Machine], waiting: list[int]) -> int:
+        """One to a machine as long as there are others; returns how many found room."""
+        position = 0
+        while position < len(waiting):
+            placed = self._round(job, machines, waiting[position:], self._how_many)
+            if not placed:
+                break
+            position += placed
+        return position
+
+    def _prompt(self, job: Job, machine: Machine) -> bool:
+        """Would a replica start there within the wait that its users accept?"""
+        within = self.aims.wait_s(job.spec.job_class)
+        if within is None or job.image in machine.images:
+            return True
+        speed = self.tables.types[machine.type].fetch_gb_per_s
+        return speed > 0 and job.spec.image_gb * SLOW_FETCH <= within * speed
+
+    def _hold(self, job: Job, missing: int) -> int:
+        """Rather stop less urgent work where the image is than fetch it elsewhere.
+
+        A stop and a start take a moment, a fetch many seconds in which the
+        replica is missed. Returns for how many replicas room is being made;
+        they wait for it in this pass, though not for long.
+        """
+        if job.held_since == 0.0 or self.now - job.held_since > HOLD_AGAIN_S:
+            job.held_since = self.now
+        if self.now - job.held_since > HOLD_S:
+            return 0
+        machines = [each for each in self.allowed(job) if job.image in each.images]
+        made, victims = self.preemption.make_room_on(job, machines, missing)
+        self.result.victims += victims
+        self.result.held += made
+        return made
+
     def _beside_cards(self, job: Job) -> list[Machine]:
         """Machines whose cards are in use and leave room that no cards will need.
 
--- a/appleshift/coordination/preemption.py
+++ b/appleshift/coordination/preemption.py
@@ -144,6 +144,30 @@
             self._failed.add(key, job.spec)
         return chosen
 
+    def make_room_on(
+        self, job: Job, machines: list[Machine], missing: int
+    ) -> tuple[int, list[Run]]:
+        """Room for replicas on some of these machines, one on each, and who stops."""
+        if self._tables.least_urgent() <= job.rank:
+            return 0, []
+        rooms = zone_room(self._tables, job)
+        made = 0
+        chosen: list[Run] = []
+        for machine in self._placer.first_fit(job, machines):
+            if made >= missing:
+                break
+            room = self._room(machine)
+            if not room.stopping and room.least <= job.rank:
+                continue
+            if rooms is not None and rooms[machine.zone] <= 0:
+                continue
+            found, some = self._make_room(job, machine, 1, set())
+            made += found
+            chosen += some
+            if rooms is not None:
+                rooms[machine.zone] -= found
+        return made, chosen
+
     def _hopeless(self, job: Job, key: tuple[object, ...], missing: int) -> bool:
         """Nobody could be stopped for as urgent work that needs no more."""
         return self._failed.cover(key, job.spec, missing if job.gang else 1)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -236,3 +236,39 @@
     job(made, **whole)
     assert len(low.runs) == 2
     assert place(made, preempt=True).victims == []
+
+
+def test_a_replica_waits_a_moment_for_room_where_its_image_is() -> None:
+    """Fetching it where there is room took seconds in which the replica was missed."""
+    made = tables([("small", "a", False), ("large", "a", False)])
+    low = job(made, tasks=4, priority="low")
+    for task in range(4):
+        running(made.assign(low, task, 1, machine(made, "m0"), 1), since=0.5)
+    replica = job(made, shape="daemon", priority="critical", job_class="desk", cpus=2.0)
+    machine(made, "m0").remember_image(replica.image, 1.0, 20.0)
+    aims = Aims([Objective("wait", 0.9, "desk", 1.0)])
+
+    def at(now: float) -> Pass:
+        return Placer(made, now, now, -1.0, aims).run(preempt=True)
+
+    result = at(1.0)
+    assert (result.held, where(result), len(result.victims)) == (1, [], 2)
+    # The stops are under way: nobody else is chosen, and nothing is rented for it.
+    result = at(1.5)
+    assert (result.held, where(result), result.victims, result.shortages) == (1, [], [], [])
+    for run in [run for run in list(low.runs.values()) if run.grace is not None]:
+        made.free(run)
+    at(1.6)
+    assert replica.runs[0].machine.name == "m0"
+
+
+def test_a_replica_does_not_wait_for_room_that_does_not_come() -> None:
+    made = tables([("small", "a", False), ("large", "a", False)])
+    low = job(made, tasks=4, priority="low")
+    for task in range(4):
+        running(made.assign(low, task, 1, machine(made, "m0"), 1), since=0.5)
+    replica = job(made, shape="daemon", priority="critical", job_class="desk", cpus=2.0)
+    machine(made, "m0").remember_image(replica.image, 1.0, 20.0)
+    aims = Aims([Objective("wait", 0.9, "desk", 1.0)])
+    assert Placer(made, 1.0, 1.0, -1.0, aims).run(preempt=True).held == 1
+    assert where(Placer(made, 3.0, 3.0, -1.0, aims).run(preempt=True)) == [("m1", [0])]
