--- a/appleshift/coordination/election.py
+++ b/appleshift/coordination/election.py
@@ -69,6 +69,7 @@
         self._resigned = routines.flag()
         self._stand_after = routines.now()
         self._leader_since = routines.now()
+        self._leader_token = 0
         self._attempt = 0
         self._lease = 0
         self._stale_lease: int | None = None
@@ -109,7 +110,12 @@
             for name, (at, entitled, token) in list(self._heard.items())
             if entitled and now - at < HEARD_S
         ]
-        return max(claims)[1] if claims else self.leader
+        leader = self.leader
+        if leader is not None:
+            # The key may say it first: what a leader that just crashed said of
+            # itself must not hide its successor.
+            claims.append((self._leader_token, leader))
+        return max(claims)[1] if claims else None
 
     def serves(self) -> bool:
         """Can this node answer users, itself or by asking the leader?
@@ -170,7 +176,8 @@
                 self._stop.wait(0.15)
             return
         value = page.items[0].value if isinstance(page.items[0].value, dict) else {}
-        leader = str(value.get("name", ""))
+        leader, token = str(value.get("name", "")), value.get("token")
+        self._leader_token = token if isinstance(token, int) else 0
         if leader != self.leader:
             self.leader, self._leader_since = leader, self._now()
         if self.leader == self.name:
@@ -195,6 +202,7 @@
             self.leadership.end_standing(settled=True)
 
     def _stand(self) -> bool:
+        """Try to be elected; true if there is a leader now, whoever it is."""
         if self._now() < self._stand_after:
             return False
         if self.leadership.unsettled() or not self.leadership.begin_standing(self._now()):
@@ -222,7 +230,8 @@
             except (TxnFailedError, LeaseGoneError) as error:
                 settled = True
                 log.debug("not elected: %s", error)
-                return False
+                # Somebody else was: see who, without a pause.
+                return isinstance(error, TxnFailedError)
             except StoreError as error:
                 settled = error.refused
                 raise
@@ -230,7 +239,7 @@
             self._deposed.clear()
             self._trouble.clear()
             self.leadership.won(token, sent, self.operator.leader_lease_s)
-            self.leader = self.name
+            self.leader, self._leader_token = self.name, token
             settled = True
             log.info("elected with token %d", token)
             self._on_won(Term(token, revision, mark))
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -309,6 +309,25 @@
         world.close()
 
 
+def test_all_nodes_know_a_successor_as_soon_as_the_key_names_it() -> None:
+    """What the fallen leader had said of itself once hid it for half a second more."""
+    world = World(57, site=LARGE)
+    world.lossy = 0.0
+    try:
+        for _ in range(4):
+            world.run(world.sim.now + 10.0)
+            old = world.leaders()[0]
+            old.crash(5.0)
+            while not world.leaders():
+                world.run(world.sim.now + 0.02)
+            new = world.leaders()[0]
+            world.run(world.sim.now + 0.2)
+            others = [host.node for host in world.hosts.values() if host.node]
+            assert {node.election.current_leader() for node in others} == {new.name}
+    finally:
+        world.close()
+
+
 def test_followers_ask_the_state_service_seldom_however_long_the_term() -> None:
     """Once their watch was refused as too old after 10,000 changes, again and
     again, and each of them spent its whole rate and processor on asking."""
