--- a/appleshift/coordination/scaling.py
+++ b/appleshift/coordination/scaling.py
@@ -105,6 +105,9 @@
         changes = []
         for market in (*self.current, *self.others):
             machines = machines_for(quota, market.units)
+            if market in self.current and machines > market.most:
+                # It holds what its market gives, until the quota is below that.
+                machines = int(market.most) + 1
             if machines:
                 left = (machines - 1) * market.units * (count - self.spare)
                 changes.append(self.required - left)
