--- a/appleshift/bookkeeping/journal.py
+++ b/appleshift/bookkeeping/journal.py
@@ -9,6 +9,7 @@
     log/<n>               a batch of records
     snap/<generation>/<n> a page of records that rebuild the live state
     final/<n>             a page of ended jobs, written once
+    audit/<n>             a page of the audit of counted resources, written once
     meta                  the snapshot in force and where the log goes on
 
 A snapshot counts only once ``meta`` names it: an interrupted one is just keys
@@ -29,6 +30,7 @@
 LOG = "log/"
 SNAP = "snap/"
 FINAL = "final/"
+AUDIT = "audit/"
 TXN_BYTES = 60 * 1024
 """Below the service's 64 KiB, to leave room for guards and framing."""
 
@@ -47,6 +49,10 @@
     return f"{FINAL}{number:08d}"
 
 
+def audit_key(number: int) -> str:
+    return f"{AUDIT}{number:08d}"
+
+
 @dataclass(slots=True)
 class Bucket:
     """A rate with bursts of one second's worth."""
@@ -79,15 +85,18 @@
     pages: int = 0
     log_from: int = 1
     finals: int = 0
+    audit: tuple[int, int, int] = (0, 0, 0)
+    """First page kept, next page, and how many entries all pages ever held."""
 
     def value(self, mark: str) -> dict[str, Any]:
-        return {
+        value = {
             "generation": self.generation,
             "pages": self.pages,
             "log_from": self.log_from,
             "finals": self.finals,
             "mark": mark,
         }
+        return {**value, "audit": list(self.audit)} if self.audit[1] else value
 
 
 @dataclass(slots=True)
@@ -133,6 +142,8 @@
     _serial: int = 0
     _waiting_bytes: int = 0
     snapshotting: bool = False
+    watch: Callable[[Record], None] | None = None
+    """Is shown each record once it is durable, in the order of the log."""
 
     def __post_init__(self) -> None:
         # The limit is the service's, not ours alone: a leader before us may
@@ -242,6 +253,8 @@
         if flying is not None:
             self.next_log += len(txn.changes)
             for pending in flying:
+                if self.watch is not None and pending.record is not None:
+                    self.watch(pending.record)
                 if pending.then is not None:
                     pending.then()
         if chore is not None:
@@ -252,40 +265,58 @@
 
     # -- snapshots ---------------------------------------------------------
 
-    def start_snapshot(self, records: list[Record], finals: list[list[Any]]) -> None:
+    def start_snapshot(
+        self,
+        records: list[Record],
+        finals: list[list[Any]],
+        audit: Callable[[], list[list[Any]]] | None = None,
+        audit_pages: int = 0,
+    ) -> None:
         """Write the state as of now. The log goes on meanwhile.
 
         ``records`` describe the state with every record appended so far, so the
         snapshot must come into force after those are durable, and the log that
         follows it must start with the first record appended after now: one that
-        shared a key with older ones would be in neither.
+        shared a key with older ones would be in neither. ``audit`` gives what
+        the records up to here say of counted resources, and is therefore asked
+        only once all of them are durable; ``audit_pages`` of it are kept.
         """
         self.snapshotting = True
 
         def write() -> None:
-            self._write_snapshot(records, finals)
+            self._write_snapshot(records, finals, audit() if audit is not None else [], audit_pages)
 
         if self._queue or self._flying is not None:
             self._queue.append(_Pending(None, 0, write, barrier=True))
         else:
             write()
 
-    def _write_snapshot(self, records: list[Record], finals: list[list[Any]]) -> None:
+    def _write_snapshot(
+        self,
+        records: list[Record],
+        finals: list[list[Any]],
+        audit: list[list[Any]],
+        audit_pages: int,
+    ) -> None:
         old = self.meta
         generation = old.generation + 1
         pages = self._pages(records)
         final_pages = self._pages(finals)
-        for number, page in enumerate(pages):
-            mark = self._mark()
-            value = {"mark": mark, "records": page}
-            key = snap_key(generation, number)
-            self._chores.append(_Chore([state.put(key, value)], key, mark))
-        for number, page in enumerate(final_pages):
+        first, following, entries = old.audit
+        trail_pages = self._pages(audit)
+        for key, page in (
+            *((snap_key(generation, number), page) for number, page in enumerate(pages)),
+            *((final_key(old.finals + number), page) for number, page in enumerate(final_pages)),
+            *((audit_key(following + number), page) for number, page in enumerate(trail_pages)),
+        ):
             mark = self._mark()
             value = {"mark": mark, "records": page}
-            key = final_key(old.finals + number)
             self._chores.append(_Chore([state.put(key, value)], key, mark))
-        new = Meta(generation, len(pages), self.next_log, old.finals + len(final_pages))
+        new = Meta(generation, len(pages), self.next_log, old.finals + len(final_pages), old.audit)
+        if trail_pages:
+            following += len(trail_pages)
+            first = max(first, following - audit_pages)
+            new.audit = (first, following, entries + len(audit))
         mark = self._mark()
         done = _Chore([state.put(META, new.value(mark))], META, mark)
         done.then = lambda: self._adopt(old, new)
@@ -298,6 +329,7 @@
         self.sweep(
             [log_key(number) for number in range(old.log_from, new.log_from)]
             + [snap_key(old.generation, page) for page in range(old.pages)]
+            + [audit_key(page) for page in range(old.audit[0], new.audit[0])]
         )
 
     def sweep(self, keys: list[str]) -> None:
--- a/appleshift/bookkeeping/records.py
+++ b/appleshift/bookkeeping/records.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, Protocol
 
 import msgspec
 
@@ -28,6 +29,7 @@
 MACHINE = "M"
 GONE = "X"
 NEXT = "N"
+SEATS = "S"
 
 _SPEC_FIELDS = Submission.__struct_fields__
 _TASKS_A_RECORD = 100
@@ -36,24 +38,42 @@
 
 def job_record(job: Job) -> Record:
     values = [getattr(job.spec, name) for name in _SPEC_FIELDS]
+    if job.spec.seats is None:
+        # As it was before there were seats: older versions read it, too.
+        values.pop()
     return [JOB, job.index, round(job.submitted, 3), values]
 
 
 def assign_records(
-    job: Job, attempt: int, machine: Machine, session: int, tasks: list[int]
+    job: Job,
+    attempt: int,
+    machine: Machine,
+    session: int,
+    tasks: list[int],
+    wall: float | None = None,
 ) -> list[Record]:
     return [
-        [ASSIGN, job.index, attempt, machine.name, session, to_ranges(some)]
+        [ASSIGN, job.index, attempt, machine.name, session, to_ranges(some), *_at(job, wall)]
         for some in _slices(tasks)
     ]
 
 
-def free_records(job: Job, tasks: list[int]) -> list[Record]:
-    return [[FREE, job.index, to_ranges(some)] for some in _slices(tasks)]
+def free_records(job: Job, tasks: list[int], wall: float | None = None) -> list[Record]:
+    return [[FREE, job.index, to_ranges(some), *_at(job, wall)] for some in _slices(tasks)]
 
 
-def done_records(job: Job, tasks: list[int]) -> list[Record]:
-    return [[DONE, job.index, to_ranges(some)] for some in _slices(tasks)]
+def done_records(job: Job, tasks: list[int], wall: float | None = None) -> list[Record]:
+    return [[DONE, job.index, to_ranges(some), *_at(job, wall)] for some in _slices(tasks)]
+
+
+def seats_record(name: str, definition: dict[str, Any] | None, wall: float) -> Record:
+    """A counted resource as it is from now on; None: no longer counted."""
+    return [SEATS, round(wall, 3), name, definition]
+
+
+def _at(job: Job, wall: float | None) -> tuple[float, ...]:
+    """When seats changed hands; what holds none has no such time."""
+    return () if wall is None or not job.seats else (round(wall, 3),)
 
 
 def cancel_record(job: Job) -> Record:
@@ -85,11 +105,26 @@
     ]
 
 
+class Trail(Protocol):
+    """Follows durable records, for the audit of counted resources."""
+
+    def apply(self, record: Record) -> None: ...
+
+
 class Replay:
-    """Rebuilds the tables from a snapshot and the log after it."""
+    """Rebuilds the tables from a snapshot and the log after it.
+
+    ``make_trail`` is called once counted resources turn up in the log, with the
+    number of entries that pages of the audit hold.
+    """
 
-    def __init__(self, tables: Tables) -> None:
+    def __init__(self, tables: Tables, make_trail: Callable[[int], Trail] | None = None) -> None:
         self.tables = tables
+        self.make_trail = make_trail
+        self.trail: Trail | None = None
+        self.audit_written = 0
+        # Counted resources in force, by name, as they were written down.
+        self.seats: dict[str, Any] = {}
         self.groups: Any = None
         self.unsaved_finals: list[tuple[str, int]] = []
         # All submissions that the log still holds, jobs that are over included.
@@ -108,9 +143,11 @@
     def _apply(self, record: Record) -> None:
         kind = record[0]
         tables = self.tables
+        if self.trail is not None:
+            self.trail.apply(record)
         if kind == JOB:
             _, index, submitted, values = record
-            spec = Submission(**dict(zip(_SPEC_FIELDS, values, strict=True)))
+            spec = Submission(**dict(zip(_SPEC_FIELDS, values, strict=False)))
             job = tables.add_job(index, spec, submitted)
             job.accepted = True
             self.arrivals.append((submitted, spec))
@@ -132,6 +169,9 @@
             if machine is not None:
                 tables.drop_machine(machine)
             return
+        if kind == SEATS:
+            self._seats(record)
+            return
         if kind == NEXT:
             tables.next_job = max(tables.next_job, record[1])
             return
@@ -141,7 +181,7 @@
             return
         job = known
         if kind == ASSIGN:
-            _, _, attempt, machine, session, ranges = record
+            _, _, attempt, machine, session, ranges, *_ = record
             for task in from_ranges(ranges):
                 self.places[(index, task)] = (attempt, machine, session)
             job.attempt = max(job.attempt, attempt)
@@ -165,10 +205,21 @@
             self.unsaved_finals.append((job.spec.id, job.status))
             tables.retire(job)
 
+    def _seats(self, record: Record) -> None:
+        if self.trail is None and self.make_trail is not None:
+            self.trail = self.make_trail(self.audit_written)
+            self.trail.apply(record)
+        _, _, name, definition = record
+        if definition is None:
+            self.seats.pop(name, None)
+        else:
+            self.seats[name] = definition
+
 
-def live_records(tables: Tables, groups: Any) -> list[Record]:
+def live_records(tables: Tables, groups: Any, seats: list[Record] | None = None) -> list[Record]:
     """Records that rebuild the live state, for a snapshot."""
-    records = types_record(tables.types)
+    # What is counted comes first: jobs are read by it.
+    records = (seats or []) + types_record(tables.types)
     if groups is not None:
         records.append([GROUPS, groups])
     # Ended jobs' numbers stay used: the log after the snapshot may name them.
@@ -185,6 +236,10 @@
             by_place.setdefault(key, []).append(task)
         for (attempt, _, session), tasks in by_place.items():
             records += assign_records(job, attempt, job.runs[tasks[0]].machine, session, tasks)
+        if job.attempt > max((attempt for attempt, _, _ in by_place), default=0):
+            # Attempts that are over stay used, too: a number that names two of
+            # them names two holders of a seat.
+            records.append([ASSIGN, job.index, job.attempt, "", 0, []])
         done = [task for task in range(job.spec.tasks) if job.done[task]]
         records += done_records(job, done)
         if job.status == CANCELLED:
--- a/appleshift/bookkeeping/store.py
+++ b/appleshift/bookkeeping/store.py
@@ -139,7 +139,15 @@
     if item is not None:
         version = item.version
         value = item.value
-        meta = Meta(value["generation"], value["pages"], value["log_from"], value["finals"])
+        first, following, entries = value.get("audit", (0, 0, 0))
+        meta = Meta(
+            value["generation"],
+            value["pages"],
+            value["log_from"],
+            value["finals"],
+            (first, following, entries),
+        )
+        replay.audit_written = entries
     leftovers: list[str] = []
     last_final = final_key(meta.finals)
     for row in store.everything(FINAL) if meta.finals else []:
--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -8,6 +8,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import Protocol
 
 from appleshift.bookkeeping.index import NameIndex
 from appleshift.protocol.cloud import MachineType
@@ -106,6 +107,7 @@
         "ran_s",
         "rank",
         "runs",
+        "seats",
         "spec",
         "status",
         "submitted",
@@ -141,6 +143,8 @@
         self.image = -1
         self.zone = -1
         self.type_ok: list[bool] | None = None
+        # What each task holds of counted resources: (resource, count).
+        self.seats: tuple[tuple[int, int], ...] = ()
 
     @property
     def gang(self) -> bool:
@@ -280,6 +284,22 @@
         )
 
 
+class Counted(Protocol):
+    """Resources that are counted across the whole cluster, where any are defined."""
+
+    def need(self, spec: Submission) -> tuple[tuple[int, int], ...]:
+        """What each task of a job holds: (resource, count)."""
+        ...
+
+    def seated(self, spec: Submission) -> int:
+        """How many of a job's tasks can ever hold what they need at once."""
+        ...
+
+    def took(self, run: Run) -> None: ...
+
+    def gave(self, run: Run) -> None: ...
+
+
 class Tables:
     """All that the leader knows, by index."""
 
@@ -308,6 +328,7 @@
         self.run_ratios: dict[str, float] = {}
         # The most CPUs and memory that work with cards took for one card.
         self.card_needs: tuple[float, float] | None = None
+        self.counted: Counted | None = None
 
     def set_types(self, types: list[MachineType]) -> bool:
         """Take in prices; true if anything but a price is new."""
@@ -331,6 +352,8 @@
         job.team = self.team_names.get(spec.team)
         job.image = self.images.add(spec.image)
         job.zone = -1 if spec.zone is None else self.zones.add(spec.zone)
+        if self.counted is not None and spec.seats is not None:
+            job.seats = self.counted.need(spec)
         self.jobs[index] = job
         self.job_by_id[spec.id] = job
         if spec.gpus > 0:
@@ -379,6 +402,8 @@
         team = self.teams[job.team]
         team.cpus += job.spec.cpus
         team.gpus += job.spec.gpus
+        if job.seats and self.counted is not None:
+            self.counted.took(run)
         return run
 
     def free(self, run: Run) -> None:
@@ -394,6 +419,8 @@
         team = self.teams[job.team]
         team.cpus -= job.spec.cpus
         team.gpus -= job.spec.gpus
+        if job.seats and self.counted is not None:
+            self.counted.gave(run)
 
     def least_urgent(self) -> int:
         """The largest rank of which a task may be on some machine; -1 without any."""
--- a/appleshift/cli.py
+++ b/appleshift/cli.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import threading
+import time
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,8 @@
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 USAGE_ERROR = 2
+SEATS_PATIENCE_S = 30.0
+"""Nodes answer 503 while nobody leads, and for pages that are read too fast."""
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -36,21 +39,16 @@
     parser.add_argument(
         "--config", type=Path, metavar="FILE", help="run a controller with these settings (TOML)"
     )
-    parser.add_argument(
-        "--operator",
-        type=Path,
-        metavar="FILE",
-        help="operators' own settings (protobuf text format), with --config",
-    )
+    _operator_option(parser, "operators' own settings (protobuf text format), with --config")
     commands = parser.add_subparsers(dest="command", metavar="COMMAND")
 
     run = commands.add_parser("run", help="run a controller")
     run.add_argument("config", type=Path, help="settings file (TOML)")
-    run.add_argument("--operator", type=Path, metavar="FILE", help="operators' own settings")
+    _operator_option(run)
 
     check = commands.add_parser("check", help="check settings without starting anything")
     check.add_argument("config", type=Path, help="settings file (TOML)")
-    check.add_argument("--operator", type=Path, metavar="FILE", help="operators' own settings")
+    _operator_option(check)
 
     nodes = commands.add_parser("nodes", help="ask nodes who leads")
     nodes.add_argument("address", nargs="+", help="host:port of a node")
@@ -58,9 +56,30 @@
     job = commands.add_parser("job", help="show a job's state")
     job.add_argument("address", help="host:port of a node")
     job.add_argument("id", help="the job's id")
+
+    seats = commands.add_parser(
+        "seats",
+        help="show counted resources: who holds them, who waits",
+        description="Total, held by team and job, waiting, outside use, and how old that is.",
+    )
+    seats.add_argument("address", help="host:port of a node")
+    seats.add_argument("--json", action="store_true", help="as JSON, for programs")
+    seats.add_argument(
+        "--history", action="store_true", help="every grant and return that is kept, in order"
+    )
     return parser
 
 
+def _operator_option(parser: argparse.ArgumentParser, text: str = "operators' settings") -> None:
+    parser.add_argument(
+        "--operator",
+        type=Path,
+        metavar="FILE",
+        action="append",
+        help=f"{text}; may be given again, later files have the last word",
+    )
+
+
 def _set_up_logging() -> None:
     level = os.environ.get("LOG_LEVEL", "info").lower()
     logging.basicConfig(
@@ -72,9 +91,9 @@
         logging.warning("LOG_LEVEL=%s is not one of %s: using info", level, ", ".join(LEVELS))
 
 
-def _run(config: Path, operator: Path | None) -> int:
+def _run(config: Path, operator: list[Path] | None) -> int:
     settings = load_settings(config)
-    node_settings = load_operator_settings(operator)
+    node_settings = load_operator_settings(operator, settings)
     try:
         node = Node(settings, node_settings)
         node.listen()
@@ -105,20 +124,46 @@
     return 0 if status == 200 else 1
 
 
+def _seats(address: str, as_json: bool, history: bool) -> int:
+    # Loaded only here, with the libraries that it needs.
+    from appleshift.seats import show
+
+    def ask(path: str) -> tuple[int, Any]:
+        while True:
+            status, body = _query(address, path)
+            if status != 503 or time.monotonic() > until:
+                return status, body
+            time.sleep(0.5)
+
+    until = time.monotonic() + SEATS_PATIENCE_S
+    try:
+        if history:
+            for entry in show.history(ask):
+                print(msgspec.json.encode(entry).decode() if as_json else show.line(entry))
+        else:
+            view = show.current(ask)
+            print(msgspec.json.encode(view).decode() if as_json else show.table(view))
+    except (ClientError, ProtocolError, ValueError, show.NotShownError) as error:
+        print(f"appleshift: {address}: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     parser = _parser()
     options = parser.parse_args(arguments)
     _set_up_logging()
     try:
         if options.command == "check":
-            load_settings(options.config)
-            load_operator_settings(options.operator)
+            load_operator_settings(options.operator, load_settings(options.config))
             print("settings are fine")
             return 0
         if options.command == "nodes":
             return max(_show(address, "/nodes") for address in options.address)
         if options.command == "job":
             return _show(options.address, f"/submissions/{options.id}")
+        if options.command == "seats":
+            return _seats(options.address, options.json, options.history)
         if options.config is None:
             parser.print_usage(sys.stderr)
             print("appleshift: give --config FILE or a command", file=sys.stderr)
--- /dev/null
+++ b/appleshift/coordination/admission.py
@@ -0,0 +1,27 @@
+"""Which submissions can be taken at all."""
+
+from __future__ import annotations
+
+from appleshift.bookkeeping.tables import Tables, type_fits
+from appleshift.coordination.counted import Seats
+from appleshift.protocol import users
+from appleshift.protocol.users import Submission
+
+
+def refusal(tables: Tables, spec: Submission, seats: Seats | None) -> tuple[int, str] | None:
+    """Why a submission can never run (422), is malformed (400), or cannot be
+    judged yet (503); None: it can be taken."""
+    if not tables.types:
+        return 503, "machine types are not known yet"
+    team = tables.team_names.get(spec.team)
+    if team < 0:
+        return 422, "unknown team"
+    allowed = [kind for kind in tables.types if spec.types is None or kind.name in spec.types]
+    if spec.zone is not None:
+        allowed = [kind for kind in allowed if spec.zone in kind.zones]
+    if not any(type_fits(kind, spec) for kind in allowed):
+        return 422, "a task fits no allowed machine type"
+    tasks = 1 if spec.shape == users.ARRAY else spec.tasks
+    if not tables.teams[team].ever_fits(spec.cpus * tasks, spec.gpus * tasks):
+        return 422, "more than the team's limit"
+    return None if seats is None else seats.refusal(spec)
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+import msgspec
+
 from appleshift.bookkeeping import records
 from appleshift.bookkeeping.journal import Journal
 from appleshift.bookkeeping.records import Record, Replay
@@ -29,9 +31,10 @@
     Machine,
     Run,
     Tables,
-    type_fits,
 )
+from appleshift.coordination.admission import refusal
 from appleshift.coordination.aims import Aims
+from appleshift.coordination.counted import Seats
 from appleshift.coordination.effects import Delete, Effect, Reply
 from appleshift.coordination.fleet import Fleet
 from appleshift.coordination.orders import REORDER_S, Orders
@@ -91,6 +94,7 @@
         journal: Journal,
         clock: Callable[[], float],
         wall: float,
+        seats: Seats | None = None,
     ) -> None:
         self.settings = settings
         self.operator = operator
@@ -98,6 +102,7 @@
         self.token = token
         self.tables: Tables = replay.tables
         self.journal = journal
+        self.seats = seats
         self.effects: deque[Effect] = deque()
         # Only for how long a duty took; what is decided goes by ``now``.
         self.clock = clock
@@ -122,6 +127,8 @@
     def _restore(self, replay: Replay, wall: float) -> None:
         """Known assignments stay where they are until there is proof."""
         tables = self.tables
+        if self.seats is not None:
+            self.seats.adopt()
         for (index, task), (attempt, name, session) in replay.places.items():
             job = tables.jobs.get(index)
             machine = tables.machine(name)
@@ -134,6 +141,8 @@
             run = tables.assign(job, task, attempt, machine, session)
             run.durable = run.pushed = True
             run.mine = False
+        if self.seats is not None:
+            self.seats.recovered()
         for submitted, spec in sorted(replay.arrivals, key=lambda entry: entry[0]):
             # What arrived under the leader before still says how much comes.
             self.fleet.arrived(spec, self.now - max(0.0, wall - submitted))
@@ -219,12 +228,12 @@
         if not self._takes_writes():
             self.unavailable(slot)
             return
-        refusal = self._refusal(spec)
-        if refusal is not None:
-            self.reply(
-                slot, refusal[0], users.error_body(refusal[1]), 1 if refusal[0] == 503 else 0
-            )
+        wrong = refusal(tables, spec, self.seats)
+        if wrong is not None:
+            self.reply(slot, wrong[0], users.error_body(wrong[1]), 1 if wrong[0] == 503 else 0)
             return
+        if self.seats is None and spec.seats is not None:
+            spec = msgspec.structs.replace(spec, seats=None)
         job = tables.add_job(tables.next_job, spec, wall)
         record = records.job_record(job)
         if not self.journal.fits(record):
@@ -254,23 +263,6 @@
         else:
             self.reply_durable(slot, status, body)
 
-    def _refusal(self, spec: Submission) -> tuple[int, str] | None:
-        tables = self.tables
-        if not tables.types:
-            return 503, "machine types are not known yet"
-        team = tables.team_names.get(spec.team)
-        if team < 0:
-            return 422, "unknown team"
-        allowed = [kind for kind in tables.types if spec.types is None or kind.name in spec.types]
-        if spec.zone is not None:
-            allowed = [kind for kind in allowed if spec.zone in kind.zones]
-        if not any(type_fits(kind, spec) for kind in allowed):
-            return 422, "a task fits no allowed machine type"
-        tasks = 1 if spec.shape == users.ARRAY else spec.tasks
-        if not tables.teams[team].ever_fits(spec.cpus * tasks, spec.gpus * tasks):
-            return 422, "more than the team's limit"
-        return None
-
     def _status(self, job: Job) -> str:
         """What users may be told: only what is durable."""
         if job.done_durable:
@@ -379,7 +371,8 @@
                     run.exit_durable = True
                 self._maybe_end(job)
 
-            self.write(records.free_records(job, [run.task for run in runs]), durable)
+            tasks = [run.task for run in runs]
+            self.write(records.free_records(job, tasks, self.wall), durable)
             if job.gang and job.status == OPEN:
                 # The rest cannot go on alone; the next attempt starts whole.
                 self.stop_gang(job, 0.0, "gang")
@@ -413,7 +406,7 @@
                         self.stop(run, 0.0, "over")
                 self._maybe_end(job)
 
-            self.write(records.done_records(job, done), durable)
+            self.write(records.done_records(job, done, self.wall), durable)
         self.dirty = True
 
     # -- workers ------------------------------------------------------------------
@@ -577,6 +570,8 @@
         if self._doomed:
             self._flush_deletions()
         self.orders.send()
+        if self.seats is not None and self.seats.step(now, wall):
+            self.dirty = True
 
     def _tick(self) -> None:
         for machine in list(self.tables.machines.values()):
@@ -611,9 +606,14 @@
             return
         finals: list[list[Any]] = [list(entry) for entry in self.unsaved_finals]
         self.unsaved_finals = []
-        live = records.live_records(self.tables, self.fleet.group_table())
+        seats = self.seats
+        counted = None if seats is None else seats.live()
+        live = records.live_records(self.tables, self.fleet.group_table(), counted)
         log.info("snapshot: %d records, %d ended jobs", len(live), len(finals))
-        journal.start_snapshot(live, finals)
+        if seats is None:
+            journal.start_snapshot(live, finals)
+        else:
+            journal.start_snapshot(live, finals, seats.audit, seats.audit_pages)
 
     def _place(self) -> None:
         """One placement pass; starts go out once they are durable."""
@@ -624,7 +624,8 @@
             return
         workers_settings = self.settings.deployment.workers
         heard_after = self.now - 2.5 * workers_settings.report_s - 0.5
-        placer = Placer(self.tables, self.now, self.wall, heard_after, self.aims)
+        seats = None if self.seats is None else self.seats.begin(self.now)
+        placer = Placer(self.tables, self.now, self.wall, heard_after, self.aims, seats)
         result = placer.run(self.operator.preempt)
         for placement in result.placements:
             job, machine = placement.job, placement.machine
@@ -638,7 +639,7 @@
 
             self.write(
                 records.assign_records(
-                    job, placement.attempt, machine, machine.session, placement.tasks
+                    job, placement.attempt, machine, machine.session, placement.tasks, self.wall
                 ),
                 durable,
             )
--- /dev/null
+++ b/appleshift/coordination/counted.py
@@ -0,0 +1,92 @@
+"""What the core needs of counted resources, where any are defined.
+
+``appleshift.seats`` implements these protocols; nothing here loads it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any, Protocol
+
+from appleshift.bookkeeping.records import Record
+from appleshift.bookkeeping.tables import Counted, Job, Run
+from appleshift.protocol.users import Submission
+
+
+class SeatPass(Protocol):
+    """Seats in one placement pass."""
+
+    def surplus(self) -> list[Run]:
+        """Whom a lowered total stops; their grace is set."""
+        ...
+
+    def borrowed(self, job: Job) -> bool:
+        """Would its next task take its team beyond a guarantee?"""
+        ...
+
+    def room(self, job: Job, most: int) -> int:
+        """How many of a job's tasks may hold what they need now, ``most`` at most."""
+        ...
+
+    def short(self, job: Job, tasks: int, urgent: bool) -> list[Run]:
+        """So many tasks wait for seats; ``urgent``: whom to stop for them."""
+        ...
+
+    def unplaced(self, job: Job) -> None:
+        """It has its seats for the asking, and no machine."""
+        ...
+
+    def close(self) -> None:
+        """The pass is over."""
+        ...
+
+
+class Seats(Counted, Protocol):
+    """Part of the core: everything counted, for one term."""
+
+    def adopt(self) -> None:
+        """From now on whatever is assigned counts: what is recovered, first of all."""
+        ...
+
+    def recovered(self) -> None:
+        """All that may be on machines has been counted."""
+        ...
+
+    def refusal(self, spec: Submission) -> tuple[int, str] | None:
+        """Why a submission cannot be taken: status and reason."""
+        ...
+
+    def begin(self, now: float) -> SeatPass: ...
+
+    def caps(self, jobs: Iterable[Job]) -> dict[int, int]:
+        """By job: how many of its tasks can hold their seats at once, if all goes well."""
+        ...
+
+    def step(self, now: float, wall: float) -> bool:
+        """Do what is due; true if a placement pass may find more than before."""
+        ...
+
+    def live(self) -> list[Record]:
+        """Records that rebuild the definitions, for a snapshot."""
+        ...
+
+    def audit(self) -> list[list[Any]]:
+        """What the trail holds since the last snapshot."""
+        ...
+
+    @property
+    def audit_pages(self) -> int:
+        """How many pages of the trail are kept."""
+        ...
+
+    def asks(self, now: float) -> list[Any]:
+        """What licence servers are to be asked now."""
+        ...
+
+    def told(self, name: str, serial: int, standing: Any, now: float) -> bool:
+        """What one answered, None for nothing; true if more may be granted."""
+        ...
+
+    def view(self, now: float) -> dict[str, Any]: ...
+
+    def history(self, after: int) -> dict[str, Any]: ...
--- a/appleshift/coordination/desk.py
+++ b/appleshift/coordination/desk.py
@@ -8,12 +8,14 @@
 from typing import Any
 from urllib.parse import unquote, urlsplit
 
+from appleshift.bookkeeping.journal import audit_key
+from appleshift.bookkeeping.store import Store, StoreError
 from appleshift.coordination.election import Election
 from appleshift.coordination.leadership import Leadership
 from appleshift.protocol import peers, users, workers
 from appleshift.protocol.wire import ProtocolError, encode
 from appleshift.transport.client import Caller, ClientError
-from appleshift.transport.routines import Routines
+from appleshift.transport.routines import RateBudget, Routines
 from appleshift.transport.server import Request, Response
 
 log = logging.getLogger(__name__)
@@ -22,8 +24,11 @@
 ANSWER_S = 4.0
 """Users wait 5 s for most answers, workers 4 s; later ones help nobody."""
 FORWARD_S = 1.8
+PAGES_RPS = 2.0
+"""Pages of the audit that a node reads in a second. They come out of its share
+of the state service's requests, which renewals of its lease need first."""
 HOLD_S = 0.4
-MOST_LOAD = {"report": 2.0, "cancel": 1.5, "submit": 1.0, "status": 0.75}
+MOST_LOAD = {"report": 2.0, "cancel": 1.5, "submit": 1.0, "status": 0.75, "seats": 0.5}
 """Up to which length of the core's queue, measured in what a node should keep
 waiting, a kind of request is put in it. What waits is answered late, and what
 leases depend on comes first."""
@@ -50,6 +55,7 @@
         load: Callable[[], float],
         reaches: Callable[[str], bool],
         routines: Routines,
+        store: Store,
     ) -> None:
         self._routines = routines
         self._election = election
@@ -58,6 +64,8 @@
         self._post = post
         self._load = load
         self._reaches = reaches
+        self._store = store
+        self._pages = RateBudget(routines, PAGES_RPS)
 
     # -- listeners ------------------------------------------------------------
 
@@ -101,6 +109,8 @@
             return self._only(method, "GET") or self._ready()
         if path == "/nodes":
             return self._only(method, "GET") or self._nodes()
+        if path == "/seats" or path.startswith("/seats/"):
+            return self._only(method, "GET") or self._seats(path, request, forwarded)
         if path == JOBS:
             return self._only(method, "POST") or self._submit(request, forwarded)
         if path.startswith(JOBS + "/"):
@@ -212,6 +222,35 @@
         }
         return respond(200, body)
 
+    def _seats(self, path: str, request: Request, forwarded: bool) -> Response:
+        """For operators: what is counted; its audit, page by page, then the tail."""
+        what, _, number = path.removeprefix("/seats").strip("/").partition("/")
+        if not what:
+            return (
+                self._forward(request, forwarded, hold=True)
+                if self._elsewhere()
+                else self._ask("seats", None)
+            )
+        if what not in ("pages", "after") or not number.isdecimal() or len(number) > 18:
+            return respond(404, users.error_body("no such path"))
+        if what == "pages":
+            # Written once and never changed: any node may read them.
+            return self._audit_page(int(number))
+        if self._elsewhere():
+            return self._forward(request, forwarded, hold=True)
+        return self._ask("seats", int(number) - 1)
+
+    def _audit_page(self, number: int) -> Response:
+        if not self._pages.take():
+            return unavailable()
+        try:
+            item = self._store.get(audit_key(number))
+        except StoreError:
+            return unavailable()
+        if item is None:
+            return respond(404, users.error_body("no such page"))
+        return respond(200, {"entries": item.value["records"]})
+
     def _reach(self, body: bytes) -> Response:
         """Do some of these workers answer this node?"""
         try:
--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet.py
@@ -83,7 +83,9 @@
     def arrived(self, spec: Submission, at: float) -> None:
         within = self.core.aims.wait_s(spec.job_class)
         if within is not None:
-            cpus, gpus = spec.cpus * spec.tasks, spec.gpus * spec.tasks
+            counted = self.tables.counted
+            tasks = spec.tasks if counted is None else counted.seated(spec)
+            cpus, gpus = spec.cpus * tasks, spec.gpus * tasks
             self.arrivals.append((at, cpus, gpus, spec.spot, within))
 
     def adopt(self, report: Report) -> Machine | None:
--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placement.py
@@ -11,6 +11,7 @@
 
 from appleshift.bookkeeping.tables import EPSILON, OPEN, Job, Machine, Run, Tables
 from appleshift.coordination.aims import Aims
+from appleshift.coordination.counted import SeatPass
 from appleshift.coordination.preemption import Preemption
 from appleshift.coordination.room import Failures, how_many, zone_room
 
@@ -59,8 +60,10 @@
         wall: float,
         heard_after: float,
         aims: Aims | None = None,
+        seats: SeatPass | None = None,
     ) -> None:
         self.tables = tables
+        self.seats = seats
         self.aims = aims or Aims()
         self.now = now
         self.wall = wall
@@ -107,6 +110,8 @@
         """
         spec = job.spec
         borrowed = spec.gpus > 0 and not self.within_guarantee(job)
+        if job.seats and self.seats is not None:
+            borrowed = borrowed or self.seats.borrowed(job)
         if job.service:
             return (job.rank, borrowed, 0, 0.0, job.submitted)
         work = len(job.pending) * self.tables.expected_s(job) * max(spec.cpus, spec.gpus)
@@ -211,14 +216,33 @@
 
     def run(self, preempt: bool) -> Pass:
         self._preempt = preempt
+        if self.seats is not None:
+            self.result.victims += self.seats.surplus()
         for job in self.order():
             missing = self._place_gang(job) if job.gang else self._place_tasks(job)
             if missing:
                 self.result.shortages.append(Shortage(job, missing))
                 if preempt and self.wall - job.submitted >= self.aims.patience_s(job):
                     self.result.victims += self.preemption.victims(job, missing)
+        if self.seats is not None:
+            self.seats.close()
         return self.result
 
+    def _seated(self, job: Job) -> int:
+        """How many waiting tasks may hold the counted resources they need now.
+
+        The others wait for seats alone: no machine is rented for them, and none
+        is emptied. Only what they are owed of seats may be stopped.
+        """
+        waiting = len(job.pending)
+        if not job.seats or self.seats is None:
+            return waiting
+        room = self.seats.room(job, waiting)
+        if room < waiting:
+            urgent = self._preempt and self.wall - job.submitted >= self.aims.patience_s(job)
+            self.result.victims += self.seats.short(job, waiting - room, urgent)
+        return room
+
     def _assign(self, job: Job, machine: Machine, attempt: int, tasks: list[int]) -> None:
         for task in tasks:
             self.tables.assign(job, task, attempt, machine, machine.session)
@@ -238,14 +262,17 @@
         if not team.room_for(spec.cpus, spec.gpus):
             # What ends will make room within the limit; no machine could.
             return 0
+        seated = self._seated(job)
+        if not seated:
+            return 0
         hopeless = self.hopeless(job)
         machines = [] if hopeless else self.candidates(job)
         if not machines and not hopeless and not job.avoid:
             self._no_room.add(self.place_key(job), spec)
         beside = self._beside_cards(job)
         if not machines and not beside:
-            return len(job.pending)
-        waiting = sorted(job.pending)
+            return self._unplaced(job, seated)
+        waiting = sorted(job.pending)[:seated]
         position = 0
         if job.service and self._preempt:
             prompt = [machine for machine in machines if self._prompt(job, machine)]
@@ -262,7 +289,12 @@
         missing = len(waiting) - position
         if missing and not team.room_for(spec.cpus, spec.gpus):
             return 0
-        return missing
+        return missing if position or not missing else self._unplaced(job, missing)
+
+    def _unplaced(self, job: Job, tasks: int) -> int:
+        if job.seats and self.seats is not None:
+            self.seats.unplaced(job)
+        return tasks
 
     def _place_replicas(self, job: Job, machines: list[Machine], waiting: list[int]) -> int:
         """One to a machine as long as there are others; returns how many found room."""
@@ -403,8 +435,10 @@
         left = len(job.pending)
         if not team.room_for(spec.cpus * left, spec.gpus * left):
             return 0
+        if not self._seated(job):
+            return 0
         if self.hopeless(job):
-            return left
+            return self._unplaced(job, left)
         machines = self.candidates(job)
         if not machines and not job.avoid:
             self._no_room.add(self.place_key(job), spec)
@@ -420,7 +454,7 @@
                 position += count
             return 0
         self._gather(job, machines, left)
-        return left
+        return self._unplaced(job, left)
 
     def _by_zone(self, job: Job, machines: list[Machine]) -> list[list[Machine]]:
         """The zone with least room first, so that large gangs find room in another."""
--- a/appleshift/coordination/provisioning.py
+++ b/appleshift/coordination/provisioning.py
@@ -61,11 +61,14 @@
         steady = tables.types[self.steady]
         total = [0.0, 0.0, 0.0]
         fixed = [0.0, 0.0, 0.0]
+        seats = self.fleet.core.seats
+        caps = seats.caps(tables.jobs.values()) if seats is not None else {}
         for job in tables.jobs.values():
             spec = job.spec
             if job.status != OPEN or (spec.gpus > 0) != self.gpus:
                 continue
-            tasks = spec.tasks - job.done_count
+            # What waits for seats only needs no machine yet.
+            tasks = min(spec.tasks - job.done_count, caps.get(job.index, spec.tasks))
             limits = tables.teams[job.team].limits
             if spec.gpus > 0 and limits.gpus_max > 0:
                 tasks = min(tasks, int(limits.gpus_max / spec.gpus))
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -8,14 +8,15 @@
 import queue
 import secrets
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from appleshift.bookkeeping.journal import Journal
-from appleshift.bookkeeping.records import Replay
+from appleshift.bookkeeping.records import Replay, Trail
 from appleshift.bookkeeping.store import Store, StoreError, recover
 from appleshift.bookkeeping.tables import Tables
 from appleshift.coordination.commit import Committer
 from appleshift.coordination.core import Core
+from appleshift.coordination.counted import Seats
 from appleshift.coordination.desk import Desk
 from appleshift.coordination.effects import Delete, Effect, Inspect, Push, Rent, Reply
 from appleshift.coordination.election import LEADER_KEY, Election, Term
@@ -29,6 +30,9 @@
 from appleshift.transport.routines import Routines, Threads
 from appleshift.transport.server import Listener
 
+if TYPE_CHECKING:
+    from appleshift.seats.calls import LicenceCalls
+
 log = logging.getLogger(__name__)
 
 IDLE_WAIT_S = 0.1
@@ -91,6 +95,7 @@
             lambda: self._events.qsize() / capacity.queued,
             self.workers.reaches,
             routines,
+            self.store,
         )
         self.cloud = CloudCalls(
             self._post,
@@ -102,6 +107,9 @@
         )
         self._load = Load(deployment.machine_limits, capacity, routines.now())
         self._listeners: list[Listener] = []
+        self._connect = connect
+        # Made when the first licence server is to be asked.
+        self._licences: LicenceCalls | None = None
 
     # -- life -----------------------------------------------------------------
 
@@ -139,6 +147,8 @@
         self.committer.stop()
         self.cloud.stop()
         self.workers.stop()
+        if self._licences is not None:
+            self._licences.stop()
 
     def _post(self, *event: Any) -> None:
         self._events.put(event)
@@ -191,9 +201,24 @@
             txn = core.journal.next_txn(now)
             if txn is not None:
                 self.committer.send(txn, self._term)
+        if core.seats is not None and self.leadership.may_answer(now):
+            self._ask_servers(core.seats, now)
         for effect in core.take_effects():
             self._carry_out(core, effect)
 
+    def _ask_servers(self, seats: Seats, now: float) -> None:
+        for ask in seats.asks(now):
+            if self._licences is None:
+                from appleshift.seats.calls import LicenceCalls
+
+                self._licences = LicenceCalls(
+                    self._post,
+                    self._connect,
+                    self.routines,
+                    lambda: self.leadership.may_answer(self.routines.now()),
+                )
+            self._licences.send(ask, self._term)
+
     def _carry_out(self, core: Core, effect: Effect) -> None:
         term = self._term
         if isinstance(effect, Reply):
@@ -216,7 +241,7 @@
             self._end()
             return
         core = self._core
-        if kind in ("submit", "status", "cancel", "report"):
+        if kind in ("submit", "status", "cancel", "report", "seats"):
             if core is None:
                 event[2].put((503, users.error_body("no leader yet"), 1))
                 return
@@ -227,6 +252,8 @@
                 core.status(event[1], event[2])
             elif kind == "cancel":
                 core.cancel(event[1], event[2])
+            elif kind == "seats":
+                core.reply(event[2], *_look(core.seats, event[1], core.now))
             else:
                 core.report(event[1], event[2])
             return
@@ -253,6 +280,8 @@
             core.fleet.rented(event[2], event[3], event[4])
         elif kind == "deleted":
             core.deleted(event[2], event[3])
+        elif kind == "licence" and core.seats is not None:
+            core.dirty = core.seats.told(event[2], event[3], event[4], core.now) or core.dirty
 
     def _begin(self, term: Term) -> None:
         """Recover what is durable; only then does anyone get an answer."""
@@ -263,7 +292,7 @@
                 return
             if self.leadership.token != term.token:
                 return
-            replay = Replay(Tables(deployment.zones, deployment.teams))
+            replay = Replay(Tables(deployment.zones, deployment.teams), _make_trail)
             try:
                 meta, meta_version, next_log, leftovers = recover(self.store, replay)
                 break
@@ -294,6 +323,7 @@
             journal,
             self.routines.now,
             self.routines.wall(),
+            self._counted(replay, journal, term),
         )
         self._term = term
         self.cloud.lead(term)
@@ -305,6 +335,14 @@
             (now - began) * 1000,
         )
 
+    def _counted(self, replay: Replay, journal: Journal, term: Term) -> Seats | None:
+        """Counted resources, if there are any: in a file of ours or in the log."""
+        if not self.operator.seats and not replay.seats:
+            return None
+        from appleshift.seats.part import build
+
+        return build(self.operator, replay, journal, term.token, self.routines.wall())
+
     def _end(self) -> None:
         core = self._core
         self._core = None
@@ -316,3 +354,17 @@
             for effect in core.take_effects():
                 if isinstance(effect, Reply):
                     effect.slot.put((effect.status, effect.body, effect.retry_after))
+
+
+def _make_trail(written: int) -> Trail:
+    """The log speaks of counted resources: their audit is followed from there."""
+    from appleshift.seats.trail import Trail as Audit
+
+    return Audit(written)
+
+
+def _look(seats: Seats | None, after: int | None, now: float) -> tuple[int, dict[str, Any]]:
+    """Counted resources as operators see them; with a number, the audit after it."""
+    if seats is None:
+        return 404, users.error_body("no counted resources are defined")
+    return 200, seats.view(now) if after is None else seats.history(after)
--- a/appleshift/protocol/users.py
+++ b/appleshift/protocol/users.py
@@ -76,6 +76,10 @@
     types: Annotated[list[Name], msgspec.Meta(max_length=1000)] | None = None
     zone: Name | None = None
     deadline_s: Amount | None = None
+    seats: Any = None
+    """Counted resources: name -> count for each task. Read only where such
+    resources are defined (``protocol/seats.py``); elsewhere it is ignored like
+    any unknown field, however malformed."""
 
 
 _submission = msgspec.msgpack.Decoder(Submission)
--- /dev/null
+++ b/appleshift/seats/account.py
@@ -0,0 +1,198 @@
+"""Our account at a licence server: what it reserves for us, and for how long.
+
+Sans-IO. The leader keeps a reservation by heartbeats; tasks check their seats
+out of it. Three things make a count here safe:
+
+- a reservation counts only until its time certainly ran out, measured from when
+  the heartbeat that got it was *sent*, as for every lease;
+- a seat that a task gave back is ours to grant again only once the server has
+  answered a heartbeat that returned it, for until then the server may refuse;
+- an answer counts only for the request under way: each has a serial, whose
+  upper part is the leader's token, so that the server ignores what a former
+  leader sent, however late it arrives.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from appleshift.protocol.licences import ACCOUNT, MAX_RETURNS, Heartbeat, Standing
+from appleshift.protocol.seats import TRUST, LicenceServer
+
+log = logging.getLogger(__name__)
+
+DRIFT = 1.002
+SERIAL_BITS = 24
+ANSWER_S = 3.0
+"""So long may a heartbeat take; after that its answer no longer counts."""
+EAGER = 0.1
+"""News is told after this share of the usual interval."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A heartbeat to send. Its outcome comes back with its serial."""
+
+    resource: str
+    address: str
+    heartbeat: Heartbeat
+
+
+class Account:
+    """One resource's reservation, for one term."""
+
+    def __init__(self, resource: str, server: LicenceServer, token: int) -> None:
+        self.resource = resource
+        self.server = server
+        self.standing: Standing | None = None
+        self.sent_at = float("-inf")
+        """When the heartbeat was sent that the server last answered."""
+        self.refused: str | None = None
+        self._serial = token << SERIAL_BITS
+        self._asking: Heartbeat | None = None
+        self._asked_at = float("-inf")
+        self._first_asked: float | None = None
+        # The least that heartbeats reserved of which the outcome is not known:
+        # the server may have shrunk the reservation to that already.
+        self._unsettled: int | None = None
+        # Seats by holder: of tasks that may be on machines, and given back but
+        # not yet taken back by the server.
+        self._holders: dict[str, int] = {}
+        self._returning: OrderedDict[str, int] = OrderedDict()
+        self._pending = 0
+        # Returned by a term before ours; the server may never have heard of it.
+        self._unsure: OrderedDict[str, None] = OrderedDict()
+
+    # -- what the count says ---------------------------------------------------------
+
+    def took(self, holder: str, count: int) -> None:
+        self._holders[holder] = count
+
+    def gave(self, holder: str, count: int, started: bool) -> None:
+        self._holders.pop(holder, None)
+        if started:
+            self._return(holder, count)
+
+    def returned_before(self, holder: str) -> None:
+        """The log says that it was given back; whether the server knows is not known."""
+        if holder not in self._holders:
+            self._unsure[holder] = None
+
+    def _return(self, holder: str, count: int) -> None:
+        if holder not in self._returning:
+            self._returning[holder] = count
+            self._pending += count
+
+    def pending(self) -> int:
+        """Seats given back that the server may still count as ours."""
+        return self._pending
+
+    def capacity(self, now: float, total: int) -> int:
+        """Seats that may be held of the reservation right now."""
+        trusts = self.server.on_silence == TRUST
+        if self.standing is None:
+            return total if trusts and self.refused is None and self._silent(now) else 0
+        if not (self.valid(now) or trusts):
+            return 0
+        reserved = self.standing.reserved
+        return reserved if self._unsettled is None else min(reserved, self._unsettled)
+
+    def _silent(self, now: float) -> bool:
+        """It never answered in this term, though it was asked long enough."""
+        return self._first_asked is not None and now - self._first_asked > self.server.silent_s
+
+    def valid(self, now: float) -> bool:
+        if self.standing is None:
+            return False
+        return now <= self.sent_at + min(self.server.silent_s, self.standing.ttl_s / DRIFT)
+
+    # -- the server ------------------------------------------------------------------
+
+    def may_ask(self, now: float) -> bool:
+        """No heartbeat is under way, nor was one sent just now."""
+        if self._asking is not None and now - self._asked_at < ANSWER_S:
+            return False
+        return now - self._asked_at >= self.server.ask_s * EAGER
+
+    def due(self, now: float, want: int) -> bool:
+        """Is it time for a heartbeat, since something changed or by itself?"""
+        news = bool(self._returning or self._unsure)
+        news = news or self.standing is None or want > self.standing.reserved
+        return self.may_ask(now) and (news or now - self._asked_at >= self.server.ask_s)
+
+    def ask(self, now: float, want: int) -> Ask:
+        """The next heartbeat; reserves ``want``, but no less than may be in use."""
+        self._serial += 1
+        self._asked_at = now
+        if self._first_asked is None:
+            self._first_asked = now
+        returned = [*self._returning, *self._unsure][:MAX_RETURNS]
+        reserve = max(want, sum(self._holders.values()) + self._pending)
+        settled = self._unsettled
+        self._unsettled = reserve if settled is None else min(settled, reserve)
+        self._asking = Heartbeat(ACCOUNT, self._serial, reserve, returned)
+        return Ask(self.resource, self.server.address, self._asking)
+
+    def told(self, serial: int, standing: Standing | None, now: float) -> bool:
+        """The server's answer to a heartbeat, or None; true if it may free seats."""
+        asked = self._asking
+        if asked is None or asked.serial != serial:
+            # Late, or of an earlier request: what it says is out of date.
+            return False
+        self._asking = None
+        if now - self._asked_at > ANSWER_S:
+            return False
+        if standing is None or standing.serial != serial:
+            return False
+        wrong = self._wrong(asked, standing)
+        if wrong != self.refused:
+            if wrong is not None:
+                log.error("licence server of %s: %s: not counted", self.resource, wrong)
+            self.refused = wrong
+        if wrong is not None:
+            return False
+        self.sent_at = self._asked_at
+        known = {entry.holder: entry.count for entry in standing.holders}
+        for holder in asked.returned:
+            self._unsure.pop(holder, None)
+            if holder not in known and holder in self._returning:
+                self._pending -= self._returning.pop(holder)
+        for holder, count in known.items():
+            if holder not in self._holders and holder not in self._returning:
+                # Of a task that is gone: a former leader did not live to say so.
+                self._return(holder, count)
+        self._unsettled = None
+        # More than was asked for is not ours.
+        reserved = min(standing.reserved, asked.reserve)
+        self.standing = msgspec.structs.replace(standing, reserved=reserved, holders=[])
+        return True
+
+    @staticmethod
+    def _wrong(asked: Heartbeat, standing: Standing) -> str | None:
+        """What no working server can answer."""
+        if standing.reserved + standing.others > standing.total and standing.reserved > max(
+            asked.reserve, sum(entry.count for entry in standing.holders)
+        ):
+            return f"reserves {standing.reserved} of {standing.total} beside {standing.others}"
+        stuck = [entry.holder for entry in standing.holders if entry.holder in set(asked.returned)]
+        if stuck:
+            return f"{stuck[0]} was returned and is still counted"
+        return None
+
+    def view(self, now: float) -> dict[str, Any]:
+        standing = self.standing
+        return {
+            "address": self.server.address,
+            "stale": not self.valid(now),
+            "age_s": None if standing is None else round(now - self.sent_at, 1),
+            "total": None if standing is None else standing.total,
+            "outside": None if standing is None else standing.others,
+            "reserved": None if standing is None else standing.reserved,
+            "returning": self._pending,
+            "refused": self.refused,
+        }
--- /dev/null
+++ b/appleshift/seats/book.py
@@ -0,0 +1,249 @@
+"""The count: who holds how many seats of what.
+
+A seat is held from the assignment until the task is certainly gone, by the same
+proof that frees its room on a machine, since both follow ``Tables.assign`` and
+``Tables.free``. What a licence server hands out is held a little longer: until
+the server has taken the seat back (``seats/account.py``).
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from appleshift.bookkeeping.index import NameIndex
+from appleshift.bookkeeping.tables import Job, Run, Tables
+from appleshift.protocol.seats import SeatDefinition, asked
+from appleshift.protocol.users import ARRAY, Submission
+from appleshift.protocol.wire import ProtocolError
+from appleshift.seats.account import Account
+
+
+def holder_name(task: str, attempt: int) -> str:
+    """How a task's attempt is named to a licence server and in the audit."""
+    return f"{task}#{attempt}"
+
+
+class Resource:
+    """One counted resource."""
+
+    __slots__ = ("account", "definition", "guarantee", "held", "most", "name", "teams")
+
+    def __init__(
+        self, name: str, definition: SeatDefinition | None, tables: Tables, account: Account | None
+    ) -> None:
+        self.name = name
+        # None: a job names it that was accepted before its definition went.
+        self.definition = definition
+        self.account = account
+        self.held = 0
+        self.teams = [0] * len(tables.teams)
+        self.most = [0] * len(tables.teams)
+        self.guarantee = [0] * len(tables.teams)
+        for team in definition.teams if definition is not None else ():
+            number = tables.team_names.get(team.name)
+            if number >= 0:
+                self.most[number], self.guarantee[number] = team.most, team.guarantee
+
+    @property
+    def total(self) -> int:
+        return 0 if self.definition is None else self.definition.total
+
+    def capacity(self, now: float) -> int:
+        """Seats that may be held at this moment."""
+        if self.account is None:
+            return self.total
+        return min(self.total, self.account.capacity(now, self.total))
+
+    def planning(self) -> int:
+        """Seats that machines are worth renting for."""
+        if self.account is None or self.account.standing is None:
+            return self.total
+        standing = self.account.standing
+        return min(self.total, max(standing.reserved, standing.total - standing.others))
+
+    def free(self, now: float) -> int:
+        """Below 0 while a lowered total or a silent server leaves too little."""
+        pending = 0 if self.account is None else self.account.pending()
+        return self.capacity(now) - self.held - pending
+
+    def room(self, team: int) -> int:
+        """What a team's own limit leaves."""
+        most = self.most[team]
+        return max(0, most - self.teams[team]) if most else self.total
+
+    def borrows(self, team: int, more: int = 0) -> int:
+        """How far beyond its guarantee a team is, or would be."""
+        return self.teams[team] + more - self.guarantee[team]
+
+
+@dataclass(slots=True)
+class Promise:
+    """What was stopped for a job is its own, until some time."""
+
+    until: float
+    needs: dict[int, int]
+
+
+class Book:
+    """All counted resources, by dense index."""
+
+    def __init__(self, tables: Tables) -> None:
+        self.tables = tables
+        self.names = NameIndex()
+        self.resources: list[Resource] = []
+        # Jobs of which some task holds a seat, and of which some waits for one:
+        # since when.
+        self.holding: dict[int, Job] = {}
+        self.waiting: dict[int, float] = {}
+        # By job: since when its seats were there for the asking, without a machine.
+        self.ready: dict[int, float] = {}
+        self.promises: dict[int, Promise] = {}
+
+    def define(self, definition: SeatDefinition, account: Account | None) -> None:
+        number = self.names.add(definition.name)
+        assert number == len(self.resources), "defined once a term, before jobs are read"
+        self.resources.append(Resource(definition.name, definition, self.tables, account))
+
+    # -- bookkeeping.tables.Counted ----------------------------------------------
+
+    def need(self, spec: Submission) -> tuple[tuple[int, int], ...]:
+        try:
+            wanted = asked(spec.seats)
+        except ProtocolError:
+            # Accepted while nothing was counted, so it was never read.
+            return ()
+        needs = []
+        for name, count in sorted(wanted.items()):
+            number = self.names.add(name)
+            if number == len(self.resources):
+                self.resources.append(Resource(name, None, self.tables, None))
+            needs.append((number, count))
+        return tuple(needs)
+
+    def seated(self, spec: Submission) -> int:
+        tasks = spec.tasks
+        for number, count in self.need(spec):
+            tasks = min(tasks, self.resources[number].planning() // count)
+        return tasks
+
+    def took(self, run: Run) -> None:
+        job = run.job
+        self.holding[job.index] = job
+        promise = self.promises.get(job.index)
+        for number, count in job.seats:
+            resource = self.resources[number]
+            resource.held += count
+            if promise is not None:
+                promise.needs[number] = max(0, promise.needs.get(number, 0) - count)
+            resource.teams[job.team] += count
+            if resource.account is not None:
+                resource.account.took(holder_name(run.name, run.attempt), count)
+
+    def gave(self, run: Run) -> None:
+        job = run.job
+        if not job.runs:
+            self.holding.pop(job.index, None)
+        for number, count in job.seats:
+            resource = self.resources[number]
+            resource.held -= count
+            resource.teams[job.team] -= count
+            if resource.account is not None:
+                # A start that never left this process left no trace anywhere.
+                started = run.durable or not run.mine
+                resource.account.gave(holder_name(run.name, run.attempt), count, started)
+
+    # -- questions -------------------------------------------------------------------
+
+    def refusal(self, spec: Submission) -> tuple[int, str] | None:
+        try:
+            wanted = asked(spec.seats)
+        except ProtocolError as error:
+            return error.status, error.reason
+        team = self.tables.team_names.get(spec.team)
+        tasks = 1 if spec.shape == ARRAY else spec.tasks
+        for name, count in wanted.items():
+            number = self.names.get(name)
+            resource = self.resources[number] if number >= 0 else None
+            if resource is None or resource.definition is None:
+                return 422, f"seats: no resource {name!r}"
+            once = count * tasks
+            if once > resource.total:
+                return 422, f"seats: {once} of {name!r} at once, there are {resource.total}"
+            if 0 < resource.most[team] < once:
+                return 422, f"seats: {once} of {name!r} is more than the team's limit"
+        return None
+
+    def holders(self, number: int) -> list[tuple[Job, int]]:
+        """Jobs that hold seats of a resource, and how many."""
+        found = []
+        for job in self.holding.values():
+            count = dict(job.seats).get(number, 0) * len(job.runs)
+            if count:
+                found.append((job, count))
+        return found
+
+    def allot(self, jobs: list[Job]) -> tuple[dict[int, int], Counter[int]]:
+        """Seats for jobs in their order of urgency, those that hold some first.
+
+        Returns tasks by job and seats by resource: what can be in use at once.
+        """
+        left = [resource.planning() for resource in self.resources]
+        team_left = [
+            [most or resource.total for most in resource.most] for resource in self.resources
+        ]
+        tasks_of: dict[int, int] = {}
+        used: Counter[int] = Counter()
+        order = sorted(jobs, key=lambda job: (not job.runs, job.rank, job.submitted))
+        for holds_now in (True, False):
+            for job in order:
+                if not job.seats:
+                    continue
+                most = len(job.runs) if holds_now else len(job.pending)
+                for number, count in job.seats:
+                    room = min(left[number], team_left[number][job.team])
+                    most = most if holds_now else min(most, max(0, room) // count)
+                if job.gang and not holds_now and most < len(job.pending):
+                    continue
+                for number, count in job.seats:
+                    left[number] -= most * count
+                    team_left[number][job.team] -= most * count
+                    used[number] += most * count
+                tasks_of[job.index] = tasks_of.get(job.index, 0) + most
+        return tasks_of, used
+
+    def view_of(self, number: int, now: float) -> dict[str, Any]:
+        """One resource, for operators."""
+        resource = self.resources[number]
+        waiting = sum(
+            len(job.pending) * dict(job.seats).get(number, 0)
+            for index in self.waiting
+            if (job := self.tables.jobs.get(index)) is not None
+        )
+        names = self.tables.team_names.names
+        holders = [(job.spec.id, names[job.team], count) for job, count in self.holders(number)]
+        holders.sort(key=lambda row: (-row[2], row[0]))
+        view: dict[str, Any] = {
+            "name": resource.name,
+            "defined": resource.definition is not None,
+            "total": resource.total,
+            "capacity": max(0, resource.capacity(now)),
+            "held": resource.held,
+            "free": max(0, resource.free(now)),
+            "waiting": waiting,
+            "teams": [
+                {
+                    "name": name,
+                    "held": resource.teams[team],
+                    "most": resource.most[team],
+                    "guarantee": resource.guarantee[team],
+                }
+                for team, name in enumerate(names)
+                if resource.teams[team] or resource.most[team] or resource.guarantee[team]
+            ],
+            "jobs": [list(row) for row in holders],
+        }
+        if resource.account is not None:
+            view["server"] = resource.account.view(now)
+        return view
--- /dev/null
+++ b/appleshift/seats/calls.py
@@ -0,0 +1,63 @@
+"""Carries heartbeats to licence servers, on a few routines of their own."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from appleshift.protocol import licences
+from appleshift.protocol.settings import split_address
+from appleshift.protocol.wire import ProtocolError
+from appleshift.seats.account import ANSWER_S, Ask
+from appleshift.transport.client import Caller, ClientError
+from appleshift.transport.routines import Pool, Routines
+
+log = logging.getLogger(__name__)
+
+CALLS = 4
+"""Servers that are slow to answer must not keep the others waiting."""
+
+
+class LicenceCalls:
+    """Sends what the leader's accounts ask; the outcome comes back as an event."""
+
+    def __init__(
+        self,
+        post: Callable[..., None],
+        connect: Callable[[tuple[str, int]], Caller],
+        routines: Routines,
+        entitled: Callable[[], bool],
+    ) -> None:
+        self._post = post
+        self._connect = connect
+        # Asked again right before a heartbeat leaves: a node that was frozen
+        # meanwhile may not lead any more. The server ignores its serial then,
+        # but a heartbeat that never leaves can confuse nobody.
+        self._entitled = entitled
+        self._pool = Pool(routines, "licence-call", CALLS)
+        self._clients: dict[str, Caller] = {}
+
+    def send(self, ask: Ask, term: Any) -> None:
+        client = self._clients.get(ask.address)
+        if client is None:
+            client = self._clients[ask.address] = self._connect(split_address(ask.address))
+        self._pool.submit(self._send, client, ask, term)
+
+    def _send(self, client: Caller, ask: Ask, term: Any) -> None:
+        standing: licences.Standing | None = None
+        try:
+            if self._entitled():
+                path = licences.heartbeat_path(ask.resource)
+                body = licences.encode_heartbeat(ask.heartbeat)
+                status, answer = client.request("POST", path, body, ANSWER_S)
+                if status == 200:
+                    standing = licences.decode_standing(answer)
+                else:
+                    log.info("licence server of %s: status %d", ask.resource, status)
+        except (ClientError, ProtocolError) as error:
+            log.info("licence server of %s: %s", ask.resource, error)
+        self._post("licence", term, ask.resource, ask.heartbeat.serial, standing)
+
+    def stop(self) -> None:
+        self._pool.stop()
--- /dev/null
+++ b/appleshift/seats/grants.py
@@ -0,0 +1,294 @@
+"""Seats in one placement pass: who gets them, for whom they are kept, who stops.
+
+Seats are granted only with a place on a machine, and to a gang all at once, so
+nothing ever holds a part of what it needs while it waits for the rest. What
+keeps many small jobs from starving a large one is that seats which fall free
+are *kept* for work that has lacked them for long. Whoever is kept for stands in
+one order over all resources, oldest first: the first waits for nobody but for
+work that runs, so no two can wait for each other.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from appleshift.bookkeeping.tables import EXITED, OPEN, ORDERED, Job, Run
+from appleshift.coordination.room import lost_work, stop_grace
+from appleshift.protocol.seats import STOP
+from appleshift.seats.book import Book, Promise
+
+KEPT_FOR = 8
+"""So many jobs have seats kept at once; the others stand in line behind them."""
+PER_RANK = 3.0
+"""More urgent work yields to what starves only after this many times longer for
+each rank between them."""
+TURN_S = 60.0
+"""A job that has its seats and finds no machine gives way after so long, which
+is longer than machines take to come."""
+PROMISE_S = 10.0
+"""Seats of work that was stopped are the stopper's for so long, beyond its grace."""
+
+
+@dataclass(slots=True)
+class Turn:
+    """A job for which seats are kept."""
+
+    job: Job
+    since: float
+    needs: dict[int, int]
+    promised: bool
+    runs: int
+
+    def over(self) -> bool:
+        """It got its start in this pass."""
+        return not self.promised and len(self.job.runs) > self.runs
+
+
+class Grants:
+    """Implements ``coordination.counted.SeatPass``."""
+
+    def __init__(self, book: Book, now: float, starve_s: float) -> None:
+        self._book = book
+        self._now = now
+        self._starve_s = starve_s
+        self._free = [resource.free(now) for resource in book.resources]
+        self._held = [resource.held for resource in book.resources]
+        self._lacking: set[int] = set()
+        # Jobs that asked, with the tasks they had on machines by then.
+        self._asked: dict[int, int] = {}
+        self._turns = self._line_up()
+        self._coming: Counter[int] | None = None
+
+    # -- who is kept for -------------------------------------------------------------
+
+    def _line_up(self) -> list[Turn]:
+        """Promises first, then what starves, the oldest first."""
+        book, now = self._book, self._now
+        turns = []
+        for index, promise in list(book.promises.items()):
+            job = self._waits(index)
+            if job is None or promise.until < now or not any(promise.needs.values()):
+                del book.promises[index]
+            else:
+                turns.append(Turn(job, now, promise.needs, True, len(job.runs)))
+        for index, since in sorted(book.waiting.items(), key=lambda entry: entry[1]):
+            job = self._waits(index)
+            if job is None:
+                del book.waiting[index]
+                book.ready.pop(index, None)
+                continue
+            if now - since < self._starve_s or len(turns) >= KEPT_FOR:
+                continue
+            if index in book.promises or job.not_before > now or (job.gang and job.runs):
+                continue
+            needs = self._needs(job)
+            if any(count > book.resources[r].room(job.team) for r, count in needs.items()):
+                # Its own team is in its way; seats kept for it would lie idle.
+                continue
+            turns.append(Turn(job, since, needs, False, len(job.runs)))
+        return turns
+
+    def _waits(self, index: int) -> Job | None:
+        job = self._book.tables.jobs.get(index)
+        return None if job is None or not job.pending or job.status != OPEN else job
+
+    @staticmethod
+    def _needs(job: Job) -> dict[int, int]:
+        """What a start of it takes: a gang's tasks all at once, else one task."""
+        tasks = len(job.pending) if job.gang else 1
+        return {number: count * tasks for number, count in job.seats}
+
+    def _yields(self, job: Job, turn: Turn) -> bool:
+        """Must this job leave what is kept for that one?"""
+        ranks = max(0, turn.job.rank - job.rank)
+        waited = self._now - turn.since
+        return turn.promised or waited >= self._starve_s * (1.0 + PER_RANK * ranks)
+
+    def _kept(self, job: Job, number: int) -> int:
+        """Seats kept for others; who stands in line yields only to those before."""
+        kept = 0
+        for turn in self._turns:
+            if turn.job is job:
+                break
+            if not turn.over() and self._yields(job, turn):
+                kept += turn.needs.get(number, 0)
+        return kept
+
+    # -- grants --------------------------------------------------------------------------
+
+    def _left(self, number: int) -> int:
+        """Free seats, less what this pass has granted so far."""
+        return self._free[number] - (self._book.resources[number].held - self._held[number])
+
+    def room(self, job: Job, most: int) -> int:
+        self._asked.setdefault(job.index, len(job.runs))
+        for number, count in job.seats:
+            free = min(
+                self._left(number) - self._kept(job, number),
+                self._book.resources[number].room(job.team),
+            )
+            most = min(most, max(0, free) // count)
+        return 0 if job.gang and most < len(job.pending) else most
+
+    def borrowed(self, job: Job) -> bool:
+        tasks = len(job.pending) if job.gang else 1
+        resources = self._book.resources
+        return any(
+            any(resources[number].guarantee)
+            and resources[number].borrows(job.team, count * tasks) > 0
+            for number, count in job.seats
+        )
+
+    def unplaced(self, job: Job) -> None:
+        book = self._book
+        since = book.ready.setdefault(job.index, self._now)
+        if self._now - since > TURN_S:
+            # It had its turn. What is kept for it any longer lies idle.
+            del book.ready[job.index]
+            book.promises.pop(job.index, None)
+            if job.index in book.waiting:
+                book.waiting[job.index] = self._now
+
+    def close(self) -> None:
+        book = self._book
+        for index, before in self._asked.items():
+            job = self._waits(index)
+            started = job is not None and len(job.runs) > before
+            if job is None or started:
+                book.waiting.pop(index, None)
+                book.ready.pop(index, None)
+            if job is not None and index in self._lacking:
+                # Work that got some of its tasks started does not starve.
+                book.waiting.setdefault(index, self._now)
+
+    # -- whom to stop -----------------------------------------------------------------------
+
+    def surplus(self) -> list[Run]:
+        chosen: list[Run] = []
+        for number, resource in enumerate(self._book.resources):
+            definition = resource.definition
+            if definition is None or definition.when_lowered != STOP:
+                continue
+            over = resource.held - resource.total - self._all_coming()[number]
+            for some in self._candidates(number, lambda run: True) if over > 0 else ():
+                if over <= 0:
+                    break
+                over -= len(some) * dict(some[0].job.seats)[number]
+                chosen += some
+                self._stop(some)
+        return chosen
+
+    def short(self, job: Job, tasks: int, urgent: bool) -> list[Run]:
+        self._lacking.add(job.index)
+        self._book.ready.pop(job.index, None)
+        if not urgent or job.index in self._book.promises or (job.gang and job.runs):
+            return []
+        resources = self._book.resources
+        most = min(resources[number].room(job.team) // count for number, count in job.seats)
+        step = tasks if job.gang else 1
+        chosen: list[Run] = []
+        # What it is granted in this pass is still to be placed.
+        granted = made = len(job.pending) - tasks
+        while made + step <= min(granted + tasks, most):
+            some = self._room_for(job, made + step)
+            if some is None:
+                break
+            self._stop(some)
+            chosen += some
+            made += step
+        if chosen:
+            needs = {number: made * count for number, count in job.seats}
+            grace = max(stop_grace(run) for run in chosen)
+            self._book.promises[job.index] = Promise(self._now + grace + PROMISE_S, needs)
+        return chosen
+
+    def _room_for(self, job: Job, tasks: int) -> list[Run] | None:
+        """Just enough holders to stop for so many tasks; None: it can't be."""
+        chosen: list[Run] = []
+        freed: Counter[int] = Counter()
+        for number, count in job.seats:
+            resource = self._book.resources[number]
+            missing = count * tasks - max(0, self._left(number) - self._kept(job, number))
+            missing -= self._spare_coming(number) + freed[number]
+            if missing <= 0:
+                continue
+            borrowers = self._borrowers(job, number, count * tasks)
+
+            def may(run: Run, borrowers: set[int] = borrowers) -> bool:
+                return run.job.rank > job.rank or run.job.team in borrowers
+
+            owed: Counter[int] = Counter()
+            for some in self._candidates(number, may):
+                if missing <= 0:
+                    break
+                victim = some[0].job
+                seats = len(some) * dict(victim.seats)[number]
+                if some[0] in chosen:
+                    continue
+                if victim.rank <= job.rank:
+                    # Only what is beyond the other team's own guarantee.
+                    if resource.borrows(victim.team) - owed[victim.team] < seats:
+                        continue
+                    owed[victim.team] += seats
+                chosen += some
+                missing -= seats
+                for other, each in victim.seats:
+                    freed[other] += each * len(some)
+            if missing > 0:
+                return None
+        return chosen
+
+    def _borrowers(self, job: Job, number: int, more: int) -> set[int]:
+        """Teams that hold beyond their guarantee what this job's team is owed."""
+        resource = self._book.resources[number]
+        if resource.borrows(job.team, more) > 0:
+            return set()
+        teams = range(len(resource.teams))
+        return {team for team in teams if team != job.team and resource.borrows(team) > 0}
+
+    def _candidates(self, number: int, may: Callable[[Run], bool]) -> Iterator[list[Run]]:
+        """Holders that may stop, a gang whole: the least urgent, then what loses least."""
+        groups: list[list[Run]] = []
+        for job, _ in self._book.holders(number):
+            runs = [
+                run
+                for run in job.runs.values()
+                if run.grace is None and run.state not in (EXITED, ORDERED) and may(run)
+            ]
+            if not job.gang:
+                groups += [[run] for run in runs]
+            elif runs and len(runs) == len(job.runs):
+                groups.append(runs)
+        now = self._now
+
+        def cost(some: list[Run]) -> tuple[int, float]:
+            return (-some[0].job.rank, sum(lost_work(run, now) for run in some) / len(some))
+
+        yield from sorted(groups, key=cost)
+
+    # -- what stops already ------------------------------------------------------------------
+
+    def _stop(self, some: list[Run]) -> None:
+        coming = self._all_coming()
+        for run in some:
+            run.grace = stop_grace(run)
+            for number, count in run.job.seats:
+                coming[number] += count
+
+    def _all_coming(self) -> Counter[int]:
+        """Seats of work that is being stopped, by resource."""
+        if self._coming is None:
+            self._coming = Counter()
+            for job in self._book.holding.values():
+                stopping = sum(1 for run in job.runs.values() if run.grace is not None)
+                for number, count in job.seats if stopping else ():
+                    self._coming[number] += count * stopping
+        return self._coming
+
+    def _spare_coming(self, number: int) -> int:
+        """Seats that stops will free and that nobody was promised."""
+        promised = sum(turn.needs.get(number, 0) for turn in self._turns if turn.promised)
+        owed = max(0, promised - max(0, self._left(number)))
+        return max(0, self._all_coming()[number] - owed)
--- /dev/null
+++ b/appleshift/seats/part.py
@@ -0,0 +1,214 @@
+"""Counted resources as a part of the core, for one term.
+
+Implements ``coordination.counted.Seats``; owned by the core's routine.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+from appleshift.bookkeeping import records
+from appleshift.bookkeeping.journal import Journal
+from appleshift.bookkeeping.records import Record, Replay
+from appleshift.bookkeeping.tables import OPEN, Job
+from appleshift.protocol.licences import Standing
+from appleshift.protocol.operator import OperatorSettings
+from appleshift.protocol.seats import SeatDefinition, SeatRules, from_record, to_record
+from appleshift.protocol.wire import MAX_BODY, json_size
+from appleshift.seats.account import Account, Ask
+from appleshift.seats.book import Book, holder_name
+from appleshift.seats.grants import Grants
+from appleshift.seats.trail import Trail
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 1.0
+"""Time alone changes what may be granted: turns, promises, silence."""
+MAX_SHOWN = 400
+"""Jobs that an answer lists for each resource; 64 KiB must hold it."""
+
+
+class SeatsPart(Book):
+    """What is counted, and what goes to and comes from licence servers."""
+
+    def __init__(
+        self,
+        definitions: Iterable[SeatDefinition],
+        rules: SeatRules,
+        replay: Replay,
+        journal: Journal,
+        token: int,
+        wall: float,
+    ) -> None:
+        super().__init__(replay.tables)
+        self.rules = rules
+        self._journal = journal
+        self.trail = _trail_of(replay, journal)
+        journal.watch = self.trail.apply
+        self._next_look = 0.0
+        for definition in definitions:
+            server = definition.server
+            account = None if server is None else Account(definition.name, server, token)
+            self.define(definition, account)
+            if replay.seats.get(definition.name) != to_record(definition):
+                record = records.seats_record(definition.name, to_record(definition), wall)
+                journal.append(record)
+        for name in replay.seats.keys() - set(self.names.names):
+            log.info("resource %s is no longer counted", name)
+            journal.append(records.seats_record(name, None, wall))
+
+    def adopt(self) -> None:
+        """Before assignments are recovered: from now on each of them counts."""
+        self.tables.counted = self
+        for job in self.tables.jobs.values():
+            if job.spec.seats is not None:
+                job.seats = self.need(job.spec)
+
+    def recovered(self) -> None:
+        """After that: what the servers may not know to be given back."""
+        accounts = [each.account for each in self.resources if each.account is not None]
+        for name, attempt in self.trail.returns() if accounts else ():
+            for account in accounts:
+                account.returned_before(holder_name(name, attempt))
+
+    # -- passes ------------------------------------------------------------------------
+
+    def begin(self, now: float) -> Grants:
+        return Grants(self, now, self.rules.starve_s)
+
+    def caps(self, jobs: Iterable[Job]) -> dict[int, int]:
+        return self.allot([job for job in jobs if job.seats and job.status == OPEN])[0]
+
+    # -- time --------------------------------------------------------------------------
+
+    def step(self, now: float, wall: float) -> bool:
+        if now < self._next_look:
+            return False
+        self._next_look = now + LOOK_S
+        return bool(self.waiting)
+
+    def asks(self, now: float) -> list[Ask]:
+        """Heartbeats to licence servers that are due."""
+        served = [
+            (number, resource.account)
+            for number, resource in enumerate(self.resources)
+            if resource.account is not None and resource.account.may_ask(now)
+        ]
+        if not served:
+            return []
+        wanted = self._wanted()
+        found = []
+        for number, account in served:
+            want = min(self.resources[number].total, wanted[number])
+            if account.due(now, want):
+                found.append(account.ask(now, want))
+        return found
+
+    def _wanted(self) -> Counter[int]:
+        """Seats that open jobs could hold, were there enough of them."""
+        wanted: Counter[int] = Counter()
+        for job in self.tables.jobs.values():
+            for number, count in job.seats if job.status == OPEN else ():
+                wanted[number] += count * (len(job.runs) + len(job.pending))
+        return wanted
+
+    def told(self, name: str, serial: int, standing: Standing | None, now: float) -> bool:
+        """A licence server's answer, or that there was none; true: look again."""
+        number = self.names.get(name)
+        account = self.resources[number].account if number >= 0 else None
+        return account is not None and account.told(serial, standing, now)
+
+    # -- durable ------------------------------------------------------------------------
+
+    def live(self) -> list[Record]:
+        # Time 0: no change, so no entry of the audit.
+        return [
+            records.seats_record(each.name, to_record(each.definition), 0.0)
+            for each in self.resources
+            if each.definition is not None
+        ]
+
+    def audit(self) -> list[list[Any]]:
+        self.trail.saved(self._journal.meta.audit[2])
+        return list(self.trail.tail)
+
+    @property
+    def audit_pages(self) -> int:
+        return self.rules.history_pages
+
+    # -- to look at ------------------------------------------------------------------------
+
+    def view(self, now: float) -> dict[str, Any]:
+        rows = [self.book_view(number, now) for number in range(len(self.resources))]
+        return {"resources": rows, "starving_after_s": self.rules.starve_s}
+
+    def book_view(self, number: int, now: float) -> dict[str, Any]:
+        row = self.view_of(number, now)
+        most = max(1, MAX_SHOWN // max(1, len(self.resources)))
+        row["jobs_not_shown"] = max(0, len(row["jobs"]) - most)
+        row["jobs"] = row["jobs"][:most]
+        return row
+
+    def history(self, after: int) -> dict[str, Any]:
+        """The audit's entries above a number that no page holds yet, as many as an
+        answer takes, and which pages hold what came before."""
+        first, following, written = self._journal.meta.audit
+        self.trail.saved(written)
+        entries: list[list[Any]] = []
+        size = 0
+        for entry in self.trail.tail:
+            if entry[0] <= after:
+                continue
+            size += json_size(entry)
+            if size > MAX_BODY // 2 and entries:
+                break
+            entries.append(entry)
+        more = bool(entries) and entries[-1][0] + 1 < self.trail.next
+        return {"pages": [first, following], "entries": entries, "more": more}
+
+
+def _trail_of(replay: Replay, journal: Journal) -> Trail:
+    """The trail that followed the log, or a new one where nothing was counted yet."""
+    if isinstance(replay.trail, Trail):
+        return replay.trail
+    trail = Trail(journal.meta.audit[2])
+    for job in replay.tables.jobs.values():
+        if job.spec.seats is not None:
+            trail.apply(records.job_record(job))
+    for (index, task), (attempt, machine, session) in replay.places.items():
+        trail.apply([records.ASSIGN, index, attempt, machine, session, [task, task]])
+    return trail
+
+
+def build(
+    operator: OperatorSettings,
+    replay: Replay,
+    journal: Journal,
+    token: int,
+    wall: float,
+) -> SeatsPart | None:
+    """The counted resources of this term; None where nothing is counted.
+
+    A file decides, where it says anything; else what the log has in force, so
+    that a node without the file does not hand out what others count.
+    """
+    rules = operator.seat_rules or SeatRules()
+    definitions = list(operator.seats)
+    if not definitions and not rules.off:
+        definitions = [from_record(record) for record in replay.seats.values()]
+        if definitions:
+            log.info("counting %d resources as the log has them", len(definitions))
+    if rules.off:
+        definitions = []
+    if not definitions and not replay.seats:
+        return None
+    for definition in definitions:
+        for team in definition.teams:
+            if replay.tables.team_names.get(team.name) < 0:
+                log.error("resource %s: no such team: %s", definition.name, team.name)
+    part = SeatsPart(definitions, rules, replay, journal, token, wall)
+    # Without definitions it has written down that nothing is counted any more.
+    return part if definitions else None
--- a/appleshift/transport/routines.py
+++ b/appleshift/transport/routines.py
@@ -141,16 +141,23 @@
         self._at = routines.now()
         self._lock = threading.Lock()
 
+    def take(self) -> bool:
+        """Take one call's worth, if there is any."""
+        return self._missing_s() == 0.0
+
     def wait(self) -> None:
         """Take one call's worth, waiting for it if need be."""
-        while True:
-            with self._lock:
-                now = self._routines.now()
-                self._level = min(self._rate, self._level + (now - self._at) * self._rate)
-                self._at = now
-                # The level fills in floating point: it may miss 1 by a hair.
-                if self._level >= 1.0 - 1e-9:
-                    self._level -= 1.0
-                    return
-                missing = (1.0 - self._level) / self._rate
+        while missing := self._missing_s():
             self._routines.sleep(missing)
+
+    def _missing_s(self) -> float:
+        """0 with one call's worth taken, else how long it takes to come."""
+        with self._lock:
+            now = self._routines.now()
+            self._level = min(self._rate, self._level + (now - self._at) * self._rate)
+            self._at = now
+            # The level fills in floating point: it may miss 1 by a hair.
+            if self._level >= 1.0 - 1e-9:
+                self._level -= 1.0
+                return 0.0
+            return (1.0 - self._level) / self._rate
--- /dev/null
+++ b/tests/licences.py
@@ -0,0 +1,102 @@
+"""A licence server by ``docs/seats-protocol.md``, which knows nothing of appleshift."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import unquote, urlsplit
+
+from tests.standins import Clock, Reply
+
+
+@dataclass
+class Pool:
+    """One resource: who uses it, and what one account has reserved."""
+
+    total: int
+    others: int = 0
+    reserved: int = 0
+    serial: int = -1
+    until: float = 0.0
+    holders: dict[str, int] = field(default_factory=dict)
+    closed: set[str] = field(default_factory=set)
+
+    def used(self) -> int:
+        return sum(self.holders.values())
+
+
+class LicenceServer:
+    """Counts check-outs; ``over`` and ``refused`` must stay empty."""
+
+    def __init__(self, clock: Clock, totals: dict[str, int], ttl_s: float = 20.0) -> None:
+        self.clock, self.ttl_s = clock, ttl_s
+        self.pools = {name: Pool(total) for name, total in totals.items()}
+        self.out = False
+        self.lies: dict[str, Any] = {}
+        self.over: list[str] = []
+        self.refused: list[str] = []
+        self.most = 0
+        self.heartbeats = 0
+
+    # -- accounts ------------------------------------------------------------------
+
+    def handle(self, caller: str, method: str, target: str, body: Any, reply: Reply) -> None:
+        if self.out:
+            reply(503, {"error": "trouble"})
+            return
+        parts = unquote(urlsplit(target).path).strip("/").split("/")
+        pool = self.pools.get(parts[2]) if len(parts) == 4 else None
+        if method != "POST" or pool is None or parts[3] != "heartbeat":
+            reply(404, {"error": "no such path"})
+            return
+        self.heartbeats += 1
+        if body["serial"] <= pool.serial:
+            reply(409, {"error": "out of date"})
+            return
+        pool.serial = body["serial"]
+        for holder in body["returned"]:
+            pool.holders.pop(holder, None)
+            pool.closed.add(holder)
+        self._lapse(pool)
+        pool.reserved = max(pool.used(), min(body["reserve"], pool.total - pool.others))
+        pool.until = self.clock.now + self.ttl_s
+        reply(200, {
+            "serial": pool.serial, "total": pool.total, "others": pool.others,
+            "reserved": pool.reserved, "ttl_s": self.ttl_s,
+            "holders": [{"holder": name, "count": n} for name, n in pool.holders.items()],
+            **self.lies,
+        })  # fmt: skip
+
+    def _lapse(self, pool: Pool) -> None:
+        if pool.until < self.clock.now:
+            pool.reserved = pool.used()
+
+    # -- tasks, and everybody else -------------------------------------------------------
+
+    def check_out(self, name: str, holder: str, count: int) -> int:
+        pool = self.pools[name]
+        self._lapse(pool)
+        if holder in pool.closed:
+            self.refused.append(f"{holder} at {self.clock.now:.2f}: returned before")
+            return 410
+        if pool.used() + count > pool.reserved:
+            self.refused.append(
+                f"{holder} at {self.clock.now:.2f}: {pool.used()} of {pool.reserved} in use"
+            )
+            return 409
+        pool.holders[holder] = count
+        self.most = max(self.most, pool.used())
+        if pool.used() + pool.others > pool.total:
+            self.over.append(f"{holder} at {self.clock.now:.2f}")
+        return 200
+
+    def check_in(self, name: str, holder: str) -> None:
+        self.pools[name].holders.pop(holder, None)
+
+    def others_take(self, name: str, count: int) -> int:
+        """As many as there are; returns how many."""
+        pool = self.pools[name]
+        self._lapse(pool)
+        got = max(0, min(count, pool.total - pool.others - pool.reserved))
+        pool.others += got
+        return got
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,306 @@
+"""Three real processes on loopback, against the stand-ins served over HTTP."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import os
+import random
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from appleshift.transport.client import ClientError, HttpClient
+from appleshift.transport.server import Listener, Request, Response
+from tests.licences import LicenceServer
+from tests.rules import Rules, Seen
+from tests.standins import Cloud, Rig, StateService, Task, Worker
+
+ROOT = Path(__file__).parent.parent
+PATIENCE_S = 60.0
+
+
+class RealClock:
+    """Timers on one thread; everything else takes the same lock."""
+
+    def __init__(self) -> None:
+        self.rng = random.Random(1)
+        self.lock = threading.RLock()
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = itertools.count()
+        threading.Thread(target=self._run, daemon=True).start()
+
+    @property
+    def now(self) -> float:
+        return time.monotonic()
+
+    def after(self, delay: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (self.now + delay, next(self._count), call))
+
+    def _run(self) -> None:
+        while True:
+            with self.lock:
+                while self._heap and self._heap[0][0] <= self.now:
+                    heapq.heappop(self._heap)[2]()
+            time.sleep(0.005)
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports of our own: whatever is free right now."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+CAPACITY = {("small", "a", False): 4, ("small", "a", True): 2}
+
+
+class Loopback:
+    """``program`` is what runs a node; ``licences`` are counted outside it."""
+
+    def __init__(
+        self,
+        folder: Path,
+        program: tuple[str, ...] = ("run.py",),
+        operator: str = "",
+        licences: dict[str, int] | None = None,
+    ) -> None:
+        self.clock = RealClock()
+        self.rules = Rules(30.0, {"red": (0.0, 0.0)})
+        kind = {
+            "label": "small", "vcpus": 4.0, "cards": 0.0, "ram_gb": 16.0, "cache_gb": 20.0,
+            "pull_gb_per_s": 1.0, "price": 0.2, "low_price": 0.05, "ready_s": 0.5,
+            "yards": ["a"],
+        }  # fmt: skip
+        self.state = StateService(self.clock, 50.0, 8.0, 8)
+        self.cloud = Cloud(self.clock, [kind], CAPACITY, 0.3, self._boot, self._end)
+        self.cloud.fail_boots = 0.0
+        self.listeners: list[Listener] = []
+        self.workers: dict[str, Worker] = {}
+        state = self._serve(self.state.handle)
+        cloud = self._serve(self.cloud.handle)
+        ports = free_ports(6)
+        self.names = ["n0", "n1", "n2"]
+        self.public = {name: ports[2 * i] for i, name in enumerate(self.names)}
+        peers = {name: ports[2 * i + 1] for i, name in enumerate(self.names)}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.config: dict[str, Path] = {}
+        self.program = list(program)
+        self.licences = LicenceServer(self.clock, licences or {}, ttl_s=60.0)
+        self.rules.seat_totals = licences or {}
+        if operator:
+            path = folder / "operator.textproto"
+            path.write_text(operator.replace("LICENCES", str(self._serve(self.licences.handle))))
+            self.program += ["--operator", str(path)]
+        self.run_s: dict[str, float] = {}
+        for name in self.names:
+            siblings = "".join(
+                f'[[siblings]]\nhost_name = "{other}"\nsite = "a"\n'
+                f'peer_addr = "127.0.0.1:{peers[other]}"\n'
+                for other in self.names
+                if other != name
+            )
+            self.config[name] = folder / f"{name}.toml"
+            self.config[name].write_text(
+                f'host_name = "{name}"\nsite = "a"\nlisten = "127.0.0.1:{self.public[name]}"\n'
+                f'cluster_listen = "127.0.0.1:{peers[name]}"\n{siblings}'
+                f'[external]\ncloud = "127.0.0.1:{cloud}"\nstate = "127.0.0.1:{state}"\n'
+                '[deployment]\nzones = ["a"]\n[[deployment.teams]]\nname = "red"\n'
+                "[deployment.workers]\nreport_s = 0.5\nlease_s = 6.0\ngang_wait_s = 10.0\n"
+                "gang_peer_s = 2.0\ncancel_s = 30.0\n[deployment.state]\nrps = 200.0\n"
+                "write_rps = 50.0\nvalue_kb = 8.0\ntxn_ops = 8\n[deployment.cloud]\nrps = 20.0\n"
+                "list_lag_s = 0.3\n"
+            )
+            self.launch(name)
+
+    def launch(self, name: str) -> None:
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *self.program, "--config", str(self.config[name])],
+            cwd=ROOT,
+            env={**os.environ, "LOG_LEVEL": "error"},
+        )
+
+    def _serve(self, handle: Callable[..., None]) -> int:
+        def app(request: Request) -> Response:
+            answered = threading.Event()
+            answer: list[tuple[int, Any]] = []
+
+            def reply(status: int, body: Any) -> None:
+                answer.append((status, body))
+                answered.set()
+
+            body = msgspec.msgpack.decode(request.body) if request.body else None
+            with self.clock.lock:
+                handle("node", request.method, request.path, body, reply)
+            answered.wait(20.0)
+            return Response(answer[0][0], msgspec.msgpack.encode(answer[0][1]))
+
+        listener = Listener(("127.0.0.1", 0), app, 200, "stand-in")
+        listener.start()
+        self.listeners.append(listener)
+        return int(listener.server_address[1])
+
+    # -- machines ------------------------------------------------------------
+
+    def _boot(self, rig: Rig) -> None:
+        worker = self.workers[rig.name] = Worker(self.clock, rig, 6.0, self)
+
+        def handle(_: str, method: str, path: str, body: Any, reply: Any) -> None:
+            if path == "/do":
+                reply(*worker.direct(body))
+            else:
+                reply(200, worker.report())
+
+        rig.addr = f"127.0.0.1:{self._serve(handle)}"
+        threading.Thread(target=self._report, args=(worker,), daemon=True).start()
+
+    def _end(self, rig: Rig) -> None:
+        worker = self.workers.pop(rig.name, None)
+        if worker is not None:
+            worker.dead = True
+            worker.end_all()
+
+    def _report(self, worker: Worker) -> None:
+        number = 0
+        while not worker.dead:
+            client = HttpClient(("127.0.0.1", self.public[self.names[number]]))
+            with self.clock.lock:
+                sent, session = time.monotonic(), worker.session
+                body = msgspec.msgpack.encode(worker.report())
+            try:
+                status, raw = client.request("POST", "/agent/beat", body, 4.0)
+                answer = msgspec.msgpack.decode(raw)
+            except ClientError:
+                status, answer = 0, {}
+            client.close()
+            if status == 200:
+                with self.clock.lock:
+                    worker.answered(sent, session, answer)
+                time.sleep(0.4)
+            elif status == 421 and answer.get("foreman") in self.names:
+                number = self.names.index(answer["foreman"])
+                time.sleep(0.1)
+            else:
+                number = (number + 1) % 3
+                time.sleep(0.5)
+
+    # -- what workers share ----------------------------------------------------
+
+    def spec(self, job_id: str) -> dict[str, Any] | None:
+        job = self.rules.jobs.get(job_id)
+        return None if job is None else job.spec
+
+    def run_time(self, piece: str) -> float:
+        return self.run_s.get(piece.split("/")[0], 0.3)
+
+    def finished(self, piece: str) -> bool:
+        job_id, task = piece.split("/")
+        return int(task) in self.rules.jobs[job_id].done
+
+    def on_machine(self, piece: str, worker: Worker) -> None:
+        self.rules.on_machine(self.clock.now, piece, worker.info())
+        for resource, holder, count in self._licensed(piece, worker):
+            self.licences.check_out(resource, holder, count)
+
+    def off_machine(self, piece: str, worker: Worker, done: bool) -> None:
+        self.rules.off_machine(self.clock.now, piece, worker.rig.name, done)
+        for resource, holder, _ in self._licensed(piece, worker):
+            # What died with its machine never says so: the server finds out later.
+            delay = 8.0 if worker.dead else 0.0
+            self.clock.after(delay, partial(self.licences.check_in, resource, holder))
+
+    def _licensed(self, piece: str, worker: Worker) -> list[tuple[str, str, int]]:
+        wanted = self.rules.jobs[piece.split("/")[0]].spec.get("seats") or {}
+        attempts = [task.attempt for task in worker.tasks.values() if task.piece == piece]
+        return [
+            (resource, f"{piece}#{max(attempts)}", count)
+            for resource, count in wanted.items()
+            if resource in self.licences.pools and attempts
+        ]
+
+    def gang_changed(self, task: Task, worker: Worker) -> None:
+        if task.status == "waiting":
+            worker.run(task)
+            self.clock.after(0.3, lambda: worker.complete(task))
+
+    # -- users -------------------------------------------------------------------
+
+    def ask(self, job_id: str, call: str, wanted: str) -> None:
+        """Ask any node until it says what is wanted, checking every answer."""
+        until = time.monotonic() + PATIENCE_S
+        names = itertools.cycle(self.names)
+        while time.monotonic() < until:
+            client = HttpClient(("127.0.0.1", self.public[next(names)]))
+            path, body, method = f"/submissions/{job_id}", None, "GET"
+            if call == "submit":
+                method, path = "POST", "/submissions"
+                body = msgspec.msgpack.encode(self.rules.jobs[job_id].spec)
+            elif call == "cancel":
+                method, path, body = "POST", path + "/abort", b""
+                self.rules.jobs[job_id].tried_cancel = True
+            sent = time.monotonic()
+            try:
+                status, raw = client.request(method, path, body, 5.0)
+            except ClientError:
+                status, raw = 0, b"\x80"
+            client.close()
+            told = msgspec.msgpack.decode(raw).get("status")
+            with self.clock.lock:
+                self.rules.answered(self.clock.now, sent, job_id, call, status, told)
+            if status in (200, 201) and told == wanted:
+                return
+            time.sleep(0.3)
+        pytest.fail(f"{job_id}: {call} never said {wanted}")
+
+    def submit(self, number: int, **changes: Any) -> str:
+        job_id = f"job-{number:06d}"
+        spec = {
+            "name_id": job_id, "workload": "w", "owner": "red", "shape": "array",
+            "urgency": "standard", "pieces": 4, "vcpus": 1.0, "cards": 0.0, "ram_gb": 1.0,
+            "bundle": "img", "image_gb": 0.1, "rig_kinds": None, "yard": None,
+            "together": False, "spread": False, "loaners": False, "expected_s": 1.0,
+            "snapshot_every_s": 0.0, "snapshot_cost_s": 0.0, "due_s": None, **changes,
+        }  # fmt: skip
+        self.rules.jobs[job_id] = Seen(spec)
+        self.ask(job_id, "submit", "pending")
+        return job_id
+
+    def die(self, worker: Worker) -> None:
+        """A machine stops with all that is on it; nobody is told."""
+        with self.clock.lock:
+            worker.dead = True
+            worker.end_all()
+
+    def leader(self) -> str:
+        until = time.monotonic() + PATIENCE_S
+        while time.monotonic() < until:
+            for name in self.names:
+                client = HttpClient(("127.0.0.1", self.public[name]))
+                try:
+                    body = msgspec.msgpack.decode(client.request("GET", "/nodes")[1])
+                except ClientError:
+                    continue
+                if body["leading"]:
+                    return name
+            time.sleep(0.2)
+        pytest.fail("nobody leads")
+
+    def close(self) -> None:
+        for worker in self.workers.values():
+            worker.dead = True
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        for listener in self.listeners:
+            listener.stop()
--- /dev/null
+++ b/tests/planted.py
@@ -0,0 +1,14 @@
+"""A node with a defect planted: seats come back at the kill order."""
+
+from __future__ import annotations
+
+import sys
+
+import pytest
+
+from appleshift.cli import main
+from tests.test_seats_world import give_at_the_kill_order
+
+if __name__ == "__main__":
+    give_at_the_kill_order(pytest.MonkeyPatch())
+    sys.exit(main())
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -33,6 +33,9 @@
         self.used: Counter[tuple[str, str]] = Counter()
         self.machines: dict[str, dict[str, Any]] = {}
         self.starts = 0
+        # Counted resources: the most there may be, and how many are in use.
+        self.seat_totals: dict[str, int] = {}
+        self.seats: Counter[str] = Counter()
 
     def _break(self, rule: str, now: float, what: str) -> None:
         self.broken.append(f"{rule} at {now:.3f}: {what}")
@@ -59,6 +62,11 @@
         for kind, most in zip(("cpus", "gpus"), self.teams[team], strict=True):
             if most > 0 and self.used[team, kind] > most + 1e-6:
                 self._break("quota", now, f"{team} uses {self.used[team, kind]} {kind}")
+        for resource, count in (spec.get("seats") or {}).items():
+            self.seats[resource] += count
+            most = self.seat_totals.get(resource)
+            if most is not None and self.seats[resource] > most:
+                self._break("seats", now, f"{piece}: {self.seats[resource]} {resource}")
 
     def _check_place(
         self, now: float, job: Seen, piece: str, task: int, machine: dict[str, Any]
@@ -95,6 +103,8 @@
         team = job.spec["owner"]
         self.used[team, "cpus"] -= job.spec["vcpus"]
         self.used[team, "gpus"] -= job.spec["cards"]
+        for resource, count in (job.spec.get("seats") or {}).items():
+            self.seats[resource] -= count
 
     def step(self, now: float) -> None:
         """Checked after each step: what must not last."""
--- /dev/null
+++ b/tests/seats_model.py
@@ -0,0 +1,414 @@
+"""A model of counted resources: one core after the other, workers, late messages.
+
+Drives the real core by events only, as a node does, and counts by itself what
+is on machines. Every message can be lost, repeated or late; the leader can fall
+at any moment, with or without its last transaction applied.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from appleshift.bookkeeping import records
+from appleshift.bookkeeping.index import from_ranges
+from appleshift.bookkeeping.journal import Journal, Meta
+from appleshift.bookkeeping.records import Replay
+from appleshift.bookkeeping.tables import Tables
+from appleshift.coordination.core import Core
+from appleshift.coordination.effects import Delete, Push, Rent, Reply
+from appleshift.protocol.operator import OperatorSettings
+from appleshift.protocol.seats import SeatDefinition, SeatRules, TeamSeats
+from appleshift.protocol.workers import Report, TaskReport
+from appleshift.seats.part import SeatsPart, build
+from appleshift.seats.trail import GRANT, Trail
+from tests.make import KINDS, submission
+from tests.sites import LEASE_S, SMALL
+from tests.test_core import Always
+
+TOTALS = {"a": 3, "b": 2}
+OPERATOR = OperatorSettings(
+    silent_s=1.0,
+    seats=(
+        SeatDefinition("a", 3, (TeamSeats("red", 0, 1), TeamSeats("blue", 2, 1))),
+        SeatDefinition("b", 2),
+    ),
+    seat_rules=SeatRules(starve_s=5.0),
+)
+RIGS = 4
+ANSWER_S = 4.0
+GONE = ("exited",)
+
+
+@dataclass
+class Rig:
+    """A worker, as PROTOCOL has it, without images."""
+
+    name: str
+    zone: str
+    lease_from: float
+    session: int = 1
+    seq: int = 0
+    token: int = 0
+    tasks: dict[tuple[str, int], list[str]] = field(default_factory=dict)
+    dead: bool = False
+    hung: bool = False
+    off: bool = False
+    """Without power: its tasks are gone, and nobody knows."""
+
+    def report(self) -> Report:
+        self.seq += 1
+        tasks = [
+            TaskReport(piece, attempt, state, why or None)
+            for (piece, attempt), (state, why) in self.tasks.items()
+        ]
+        addr = f"10.1.0.{self.name[1:]}:9000"
+        return Report(
+            self.name, addr, "large", self.zone, False, self.session, self.seq, self.token, tasks
+        )
+
+    def execute(self, token: int, orders: list[dict[str, Any]], saves: set[str]) -> None:
+        self.token = token
+        for order in orders:
+            key = (order["piece"], order["try"])
+            task = self.tasks.get(key)
+            if order["verb"] == "run" and task is None:
+                busy = any(p == key[0] and t[0] not in GONE for (p, _), t in self.tasks.items())
+                self.tasks[key] = ["exited", "in_use"] if busy else ["running", ""]
+            elif order["verb"] == "clear" and task is not None and task[0] in GONE:
+                del self.tasks[key]
+            elif order["verb"] == "kill" and task is not None and task[0] not in GONE:
+                if task[0] == "running" and key[0] in saves and order["wind_down_s"] >= 1.0:
+                    self.tasks[key] = ["saving", ""]
+                elif task[0] != "saving" or order["wind_down_s"] <= 0:
+                    self.tasks[key] = ["exited", "stopped"]
+
+    def live(self) -> list[tuple[str, int]]:
+        return [key for key, task in self.tasks.items() if task[0] not in GONE]
+
+
+class SeatsMachine(RuleBasedStateMachine):
+    """The rules are what may happen; the invariants must hold after each."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.token = 0
+        self.specs: dict[str, Any] = {}
+        self.log: list[list[Any]] = records.types_record(KINDS)
+        self.pages: list[list[Any]] = []
+        self.rigs = [Rig(f"m{n}", "ab"[n % 2], self.now) for n in range(RIGS)]
+        self.reports: list[tuple[Rig, float, Report]] = []
+        self.answers: list[tuple[Rig, float, int, int, list[dict[str, Any]]]] = []
+        self.pushes: list[tuple[Rig, int, Push]] = []
+        self.flying: Any = None
+        self.core: Core
+        self.lead()
+        self.go_on(rounds=4)
+
+    # -- leaders ---------------------------------------------------------------------
+
+    def lead(self) -> None:
+        self.token += 1
+        written = len(self.pages)
+        replay = Replay(
+            Tables(["a", "b"], SMALL.settings_for("n0").deployment.teams),
+            lambda count: Trail(count),
+        )
+        replay.audit_written = written
+        replay.apply(self.log)
+        meta = Meta(audit=(0, 1, written))
+        journal = Journal("leader", 1, f"t{self.token}", 200.0, 8192, 8, meta, 0, 1, now=self.now)
+        self.seats = build(OPERATOR, replay, journal, self.token, 5000.0 + self.now)
+        assert isinstance(self.seats, SeatsPart)
+        self.core = Core(
+            SMALL.settings_for("n0"), OPERATOR, Always(), self.token, replay, journal,
+            lambda: self.now, 5000.0 + self.now, self.seats,
+        )  # fmt: skip
+        self.flying = None
+
+    def applied(self, txn: Any) -> None:
+        for change in txn.changes:
+            self.log += change["v"]["records"]
+
+    def commit(self) -> None:
+        if self.flying is None:
+            self.flying = self.core.journal.next_txn(self.now)
+        if self.flying is not None:
+            self.applied(self.flying)
+            self.flying = None
+            self.core.committed(9)
+
+    def step(self, seconds: float) -> None:
+        self.now += seconds
+        for rig in self.rigs:
+            if not rig.dead and self.now - rig.lease_from > LEASE_S:
+                # By its own clock, which runs on while the machine hangs.
+                rig.tasks.clear()
+                rig.session += 1
+                rig.lease_from = self.now
+        self.core.step(self.now, 5000.0 + self.now)
+        self.collect()
+
+    def collect(self) -> None:
+        for effect in self.core.take_effects():
+            if isinstance(effect, Push):
+                rig = self.rig(effect.machine)
+                if rig is not None:
+                    self.pushes.append((rig, self.token, effect))
+            elif isinstance(effect, Delete):
+                for name in effect.machines:
+                    rig = self.rig(name)
+                    if rig is not None:
+                        rig.dead = True
+                        rig.tasks.clear()
+                self.core.deleted(effect.machines, True)
+            elif isinstance(effect, Rent):
+                number = len(self.rigs)
+                names = []
+                if sum(not rig.dead for rig in self.rigs) < RIGS:
+                    self.rigs.append(Rig(f"m{number}", effect.zone, self.now))
+                    names = [f"m{number}"]
+                self.core.fleet.rented(effect.request, names, not names)
+
+    def rig(self, name: str) -> Rig | None:
+        return next((rig for rig in self.rigs if rig.name == name and not rig.dead), None)
+
+    def up(self) -> list[Rig]:
+        return [rig for rig in self.rigs if not rig.dead and not rig.hung]
+
+    def saves(self) -> set[str]:
+        return {
+            f"{job_id}/{task}"
+            for job_id, spec in self.specs.items()
+            if spec.save_s
+            for task in range(spec.tasks)
+        }
+
+    # -- messages ----------------------------------------------------------------------
+
+    def hand_in(self, entry: tuple[Rig, float, Report]) -> None:
+        rig, sent, report = entry
+        self.core.now = self.now
+        self.core.report(report, "slot")
+        for effect in self.core.take_effects():
+            if isinstance(effect, Reply) and effect.status == 200 and effect.slot == "slot":
+                self.answers.append(
+                    (rig, sent, report.session, effect.body["baton"], effect.body["orders"])
+                )
+            else:
+                self.core.effects.append(effect)
+        self.collect()
+
+    def hear(self, entry: tuple[Rig, float, int, int, list[dict[str, Any]]]) -> None:
+        rig, sent, session, token, orders = entry
+        in_time = self.now - sent <= ANSWER_S
+        if rig in self.up() and in_time and session == rig.session and token >= rig.token:
+            rig.lease_from = max(rig.lease_from, sent)
+            rig.execute(token, orders, self.saves())
+
+    def strike(self, entry: tuple[Rig, int, Push]) -> bool:
+        """A direct command arrives; true if the worker took it."""
+        rig, token, push = entry
+        if rig not in self.up() or token < rig.token or push.session != rig.session:
+            return False
+        rig.execute(token, push.commands, self.saves())
+        return True
+
+    # -- rules: the ordinary -------------------------------------------------------------
+
+    @rule(
+        shape=st.sampled_from(["array", "array", "ensemble", "daemon"]),
+        tasks=st.integers(1, 4),
+        a=st.integers(0, 2),
+        b=st.integers(0, 1),
+        priority=st.sampled_from(["critical", "standard", "low"]),
+        team=st.sampled_from(["red", "blue"]),
+        saves=st.booleans(),
+    )
+    def submit(
+        self, shape: str, tasks: int, a: int, b: int, priority: str, team: str, saves: bool
+    ) -> None:
+        job_id = f"job-{len(self.specs):06d}"
+        seats = {name: count for name, count in (("a", a), ("b", b)) if count}
+        spec = submission(
+            id=job_id, shape=shape, tasks=tasks, priority=priority, team=team, seats=seats or None,
+            checkpoint_s=1.0 if saves else 0.0, save_s=1.0 if saves else 0.0,
+        )  # fmt: skip
+        self.core.now = self.now
+        self.core.submit(spec, "user", 5000.0 + self.now)
+        told = [effect for effect in self.core.take_effects() if isinstance(effect, Reply)]
+        if not any(reply.status == 422 for reply in told):
+            self.specs[job_id] = spec
+
+    @rule(rounds=st.integers(1, 4), priority=st.sampled_from(["critical", "standard", "low"]))
+    def contend(self, rounds: int, priority: str) -> None:
+        """More work than there are seats, some of it started."""
+        for tasks, team, saves in ((3, "red", True), (2, "blue", False)):
+            self.submit("array", tasks, 1, tasks - 2, priority, team, saves)
+        self.go_on(rounds)
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 0.3, 1.0, 2.6, 6.0]))
+    def wait(self, seconds: float) -> None:
+        self.step(seconds)
+
+    @rule()
+    def make_durable(self) -> None:
+        self.commit()
+
+    @rule(rounds=st.integers(1, 6))
+    def go_on(self, rounds: int) -> None:
+        """Everything that is up works for some seconds."""
+        for _ in range(rounds):
+            self.commit()
+            self.step(0.4)
+            self.commit()
+            pushes, self.pushes = self.pushes, []
+            for entry in pushes:
+                rig, token, push = entry
+                took = self.strike(entry)
+                if token == self.token:
+                    self.core.now = self.now
+                    report = rig.report() if rig in self.up() else None
+                    outcome = "done" if took else "refused" if report else "unknown"
+                    self.core.orders.pushed(rig.name, push.session, push.starts, outcome, report)
+            for rig in self.up():
+                self.hand_in((rig, self.now, rig.report()))
+            answers, self.answers = self.answers, []
+            for answer in answers:
+                self.hear(answer)
+
+    @rule(pick=st.integers(0, 20), done=st.booleans())
+    def end_task(self, pick: int, done: bool) -> None:
+        running = [(rig, key) for rig in self.up() for key in rig.live()]
+        if running:
+            rig, key = running[pick % len(running)]
+            saving = rig.tasks[key][0] == "saving"
+            rig.tasks[key] = ["exited", "stopped" if saving else "done" if done else "error"]
+
+    @rule(pick=st.integers(0, 20))
+    def cancel(self, pick: int) -> None:
+        if self.specs:
+            job_id = sorted(self.specs)[pick % len(self.specs)]
+            self.core.now = self.now
+            self.core.cancel(job_id, "user")
+
+    # -- rules: trouble --------------------------------------------------------------------
+
+    @rule(pick=st.integers(0, RIGS))
+    def report(self, pick: int) -> None:
+        if self.up():
+            rig = self.up()[pick % len(self.up())]
+            self.reports.append((rig, self.now, rig.report()))
+
+    @precondition(lambda self: self.reports)
+    @rule(pick=st.integers(0, 20), again=st.booleans())
+    def late_report(self, pick: int, again: bool) -> None:
+        entry = self.reports[pick % len(self.reports)]
+        if not again:
+            self.reports.remove(entry)
+        self.hand_in(entry)
+
+    @precondition(lambda self: self.answers)
+    @rule(pick=st.integers(0, 20))
+    def answer(self, pick: int) -> None:
+        self.hear(self.answers.pop(pick % len(self.answers)))
+
+    @precondition(lambda self: self.pushes)
+    @rule(pick=st.integers(0, 20), again=st.booleans(), told=st.booleans())
+    def late_push(self, pick: int, again: bool, told: bool) -> None:
+        """A direct command arrives at last; the leader may hear so, or nothing."""
+        entry = self.pushes[pick % len(self.pushes)]
+        if not again:
+            self.pushes.remove(entry)
+        self.strike(entry)
+        rig, token, push = entry
+        if told and not again and token == self.token:
+            self.core.now = self.now
+            self.core.orders.pushed(rig.name, push.session, push.starts, "unknown", None)
+
+    @rule(pick=st.integers(0, RIGS))
+    def hang(self, pick: int) -> None:
+        if len(self.up()) > 1:
+            self.up()[pick % len(self.up())].hung = True
+
+    @rule()
+    def resume(self) -> None:
+        for rig in self.rigs:
+            rig.hung = rig.off
+        self.step(0.01)
+
+    @rule(pick=st.integers(0, RIGS))
+    def lose_power(self, pick: int) -> None:
+        if len(self.up()) > 1:
+            rig = self.up()[pick % len(self.up())]
+            rig.tasks.clear()
+            rig.hung = rig.off = True
+
+    @rule(applied=st.booleans())
+    def leader_falls(self, applied: bool) -> None:
+        """Its last transaction was applied, or never will be."""
+        txn = self.flying or self.core.journal.next_txn(self.now)
+        if txn is not None and applied:
+            self.applied(txn)
+        self.now += 0.5
+        self.lead()
+
+    @rule()
+    def snapshot(self) -> None:
+        """All is durable; the log begins anew, the audit moves to pages."""
+        while self.core.journal.backlog():
+            self.now += 0.05
+            self.commit()
+        assert self.seats is not None
+        core = self.core
+        self.pages += self.seats.audit()
+        self.log = records.live_records(core.tables, core.fleet.group_table(), self.seats.live())
+        core.journal.meta = Meta(audit=(0, 1, len(self.pages)))
+
+    # -- what must hold ------------------------------------------------------------------------
+
+    @invariant()
+    def nothing_is_handed_out_twice(self) -> None:
+        used: Counter[str] = Counter()
+        for rig in self.rigs:
+            for piece, _ in [] if rig.dead else rig.live():
+                spec = self.specs.get(piece.split("/")[0])
+                for name, count in ((spec.seats if spec else None) or {}).items():
+                    used[name] += count
+        for name, total in TOTALS.items():
+            assert used[name] <= total, f"{used[name]} of {total} {name} in use"
+
+    @invariant()
+    def the_book_agrees_with_the_tables(self) -> None:
+        assert self.seats is not None
+        held: Counter[int] = Counter()
+        teams: Counter[tuple[int, int]] = Counter()
+        for job in self.core.tables.jobs.values():
+            for number, count in job.seats:
+                held[number] += count * len(job.runs)
+                teams[number, job.team] += count * len(job.runs)
+        for number, resource in enumerate(self.seats.resources):
+            assert resource.held == held[number]
+            assert resource.held <= resource.total
+            for team, most in enumerate(resource.most):
+                assert resource.teams[team] == teams[number, team]
+                assert not most or resource.teams[team] <= most
+
+    @invariant()
+    def the_audit_is_whole(self) -> None:
+        assert self.seats is not None
+        self.seats.trail.saved(len(self.pages))
+        entries = [*self.pages, *self.seats.trail.tail]
+        assert [entry[0] for entry in entries] == list(range(len(entries)))
+        granted: set[tuple[str, int, int]] = set()
+        for entry in entries:
+            if entry[2] == GRANT:
+                _, _, _, job, ranges, attempt, *_ = entry
+                key = {(job, task, attempt) for task in from_ranges(ranges)}
+                assert not key & granted, "an attempt that names two holders"
+                granted |= key
--- /dev/null
+++ b/tests/test_seats.py
@@ -0,0 +1,687 @@
+"""Counted resources, case by case: when a seat is granted, kept, and free again."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from appleshift.bookkeeping.tables import RUNNING, Job, Tables
+from appleshift.coordination.effects import Delete, Push, Reply
+from appleshift.coordination.placement import Pass, Placer
+from appleshift.protocol.licences import Standing
+from appleshift.protocol.operator import OperatorSettings, load_operator_settings
+from appleshift.protocol.seats import LicenceServer as Server
+from appleshift.protocol.seats import SeatDefinition, SeatRules, TeamSeats
+from appleshift.protocol.settings import SettingsError, TeamLimits, load_settings
+from appleshift.protocol.workers import TaskReport
+from appleshift.seats import show
+from appleshift.seats.account import Account
+from appleshift.seats.book import Book
+from appleshift.seats.grants import KEPT_FOR, PROMISE_S, TURN_S, Grants
+from tests.make import job, submission, tables
+from tests.sites import LEASE_S
+from tests.test_core import Bench
+from tests.test_settings import GOOD, write
+
+ROOT = Path(__file__).parent.parent
+STARVE_S = 10.0
+
+
+def counting(*definitions: SeatDefinition, **rules: Any) -> OperatorSettings:
+    return OperatorSettings(seats=definitions, seat_rules=SeatRules(starve_s=STARVE_S, **rules))
+
+
+# -- decisions of one pass ---------------------------------------------------------
+
+
+class Desk:
+    """Tables with plenty of machines, on which only seats are scarce."""
+
+    def __init__(self, *definitions: SeatDefinition, **teams: TeamLimits) -> None:
+        self.made: Tables = tables([("large", zone, False) for zone in "abab"], **teams)
+        self.book = Book(self.made)
+        for definition in definitions:
+            self.book.define(definition, None)
+        self.made.counted = self.book
+        self.now = 1.0
+
+    def job(self, **changes: Any) -> Job:
+        made: Job = job(self.made, **{"cpus": 0.5, "memory_gb": 0.1, **changes})
+        made.submitted = self.now
+        return made
+
+    def place(self, preempt: bool = True) -> Pass:
+        seats = Grants(self.book, self.now, STARVE_S)
+        result = Placer(self.made, self.now, self.now, -1.0, None, seats).run(preempt)
+        for placement in result.placements:
+            for task in placement.tasks:
+                placement.job.runs[task].state = RUNNING
+                placement.job.runs[task].durable = True
+        return result
+
+    def end(self, *jobs: Job) -> None:
+        for each in jobs:
+            for run in list(each.runs.values()):
+                self.made.finish_task(each, run.task)
+                run.machine.runs.pop((run.name, run.attempt))
+                self.made.free(run)
+
+
+def test_no_more_is_granted_than_there_is_and_no_machine_is_wanted_for_the_rest() -> None:
+    desk = Desk(SeatDefinition("lic", 3))
+    first = desk.job(tasks=2, seats={"lic": 1})
+    second = desk.job(tasks=4, seats={"lic": 1})
+    result = desk.place()
+    assert (len(first.runs), len(second.runs)) == (2, 1)
+    assert result.shortages == []
+    assert desk.book.allot([first, second])[0] == {first.index: 2, second.index: 1}
+    desk.end(first)
+    desk.place()
+    assert len(second.runs) == 3
+
+
+def test_a_job_needs_all_its_resources_at_once() -> None:
+    desk = Desk(SeatDefinition("a", 4), SeatDefinition("b", 1))
+    both = desk.job(tasks=3, seats={"a": 2, "b": 1})
+    desk.place()
+    assert len(both.runs) == 1
+    assert [resource.held for resource in desk.book.resources] == [2, 1]
+
+
+def test_a_gang_gets_all_its_seats_or_none_and_two_never_wait_for_each_other() -> None:
+    desk = Desk(SeatDefinition("a", 4), SeatDefinition("b", 4))
+    gangs = [desk.job(shape="ensemble", tasks=3, seats={"a": 1, "b": 1}) for _ in range(2)]
+    gangs += [desk.job(shape="ensemble", tasks=2, seats={"b": 2, "a": 1})]
+    ended: list[Job] = []
+    for _ in range(6):
+        desk.place()
+        assert all(len(gang.runs) in (0, gang.spec.tasks) for gang in gangs)
+        whole = [gang for gang in gangs if gang.runs]
+        ended += whole
+        desk.end(*whole)
+        desk.now += 1.0
+    assert len(ended) == 3
+
+
+def test_many_small_jobs_do_not_starve_a_large_less_urgent_one() -> None:
+    desk = Desk(SeatDefinition("lic", 4))
+    small = [desk.job(tasks=1, seats={"lic": 1}) for _ in range(4)]
+    desk.place()
+    desk.now += 0.1
+    large = desk.job(shape="ensemble", tasks=4, priority="low", seats={"lic": 1})
+    started_at = None
+    for round_number in range(400):
+        # One small job ends each second, and two more come.
+        desk.now += 1.0
+        if small[round_number].runs:
+            desk.end(small[round_number])
+        small += [desk.job(tasks=1, seats={"lic": 1}) for _ in range(2)]
+        desk.place(preempt=False)
+        if large.runs:
+            started_at = desk.now
+            break
+    assert started_at is not None
+    # Two ranks stand between them: it waits longer, but not for ever.
+    assert started_at < 1.1 + STARVE_S * (1 + 3 * 1) + 10.0
+
+
+def test_what_is_kept_goes_to_the_oldest_and_a_turn_ends_if_no_machine_comes() -> None:
+    desk = Desk(SeatDefinition("lic", 2))
+    holder = desk.job(tasks=2, seats={"lic": 1})
+    desk.place()
+    desk.now += 0.1
+    # No machine is as large as this one needs.
+    desk.job(shape="ensemble", tasks=2, cpus=16.0, types=["small"], seats={"lic": 1})
+    desk.place()
+    later = desk.job(tasks=1, seats={"lic": 1})
+    desk.now += STARVE_S + 1.0
+    desk.place()
+    desk.end(holder)
+    desk.place()
+    assert not later.runs, "kept for the older one"
+    desk.now += TURN_S + 1.0
+    desk.place()
+    desk.place()
+    assert later.runs
+
+
+def test_only_so_many_jobs_have_seats_kept_at_once() -> None:
+    desk = Desk(SeatDefinition("lic", 1))
+    desk.job(tasks=1, seats={"lic": 1})
+    desk.place()
+    for _ in range(KEPT_FOR + 5):
+        desk.job(tasks=1, seats={"lic": 1})
+    desk.place()
+    desk.now += STARVE_S + 1.0
+    assert len(Grants(desk.book, desk.now, STARVE_S)._turns) == KEPT_FOR
+
+
+def test_urgent_work_stops_just_enough_holders_and_gets_what_they_return() -> None:
+    desk = Desk(SeatDefinition("lic", 4))
+    low = desk.job(tasks=4, priority="low", seats={"lic": 1})
+    desk.place()
+    desk.now += 1.0
+    urgent = desk.job(tasks=2, priority="high", seats={"lic": 1})
+    other = desk.job(tasks=4, priority="critical", team="blue", seats={"lic": 1})
+    victims = desk.place().victims
+    assert len(victims) == 4, "all four are owed to the critical job"
+    assert all(run.job is low for run in victims)
+    assert desk.place().victims == [], "nobody is stopped twice for the same seats"
+    for run in list(victims)[:3]:
+        desk.made.free(run)
+    desk.place()
+    assert (len(other.runs), len(urgent.runs)) == (3, 0)
+    desk.now += PROMISE_S + 1.0
+    desk.made.free(victims[3])
+    desk.place()
+    assert len(other.runs) == 4
+
+
+def test_a_gang_of_holders_stops_whole_or_not_at_all() -> None:
+    desk = Desk(SeatDefinition("lic", 4))
+    gang = desk.job(shape="ensemble", tasks=3, priority="low", seats={"lic": 1})
+    desk.place()
+    desk.now += 1.0
+    desk.job(tasks=2, priority="high", seats={"lic": 1})
+    victims = desk.place().victims
+    assert sorted(run.task for run in victims) == [0, 1, 2]
+    assert all(run.job is gang for run in victims)
+
+
+def test_work_is_never_stopped_for_as_urgent_work_unless_a_guarantee_says_so() -> None:
+    definition = SeatDefinition("lic", 6, (TeamSeats("red", 0, 3), TeamSeats("blue", 0, 2)))
+    desk = Desk(definition)
+    borrower = desk.job(team="blue", tasks=6, seats={"lic": 1})
+    desk.place()
+    desk.now += 1.0
+    owner = desk.job(team="red", tasks=5, seats={"lic": 1})
+    victims = desk.place().victims
+    assert len(victims) == 3, "what red is owed, and no more"
+    assert all(run.job is borrower for run in victims)
+    for run in victims:
+        desk.made.free(run)
+    desk.place()
+    assert (len(owner.runs), len(borrower.runs)) == (3, 3)
+    assert desk.place().victims == []
+
+
+def test_a_team_never_gets_beyond_its_most() -> None:
+    desk = Desk(SeatDefinition("lic", 6, (TeamSeats("red", 2, 0),)))
+    red = desk.job(team="red", tasks=6, seats={"lic": 1})
+    blue = desk.job(team="blue", tasks=6, priority="low", seats={"lic": 1})
+    desk.place()
+    assert (len(red.runs), len(blue.runs)) == (2, 4)
+    assert desk.place().victims == [], "its own limit is in its way, not blue's work"
+
+
+@pytest.mark.parametrize(("rule", "stopped"), [("KEEP", 0), ("STOP", 2)])
+def test_a_lowered_total_grants_nothing_and_stops_only_what_the_operator_says(
+    rule: Any, stopped: int
+) -> None:
+    desk = Desk(SeatDefinition("lic", 5, when_lowered=rule))
+    holders = [desk.job(tasks=1, priority=p, seats={"lic": 1}) for p in ("high", "low", "low")]
+    holders.append(desk.job(tasks=2, seats={"lic": 1}))
+    desk.place()
+    desk.book.resources[0].definition = SeatDefinition("lic", 3, when_lowered=rule)
+    waiting = desk.job(tasks=1, priority="low", seats={"lic": 1})
+    victims = desk.place().victims
+    assert not waiting.runs
+    assert [run.job.spec.priority for run in victims] == ["low"] * stopped
+    assert len(desk.place().victims) == 0
+
+
+# -- the core: durable, and free only on proof --------------------------------------------
+
+
+def started(bench: Bench, *jobs: dict[str, Any]) -> None:
+    """Submit, and let everything go on until what can start is running."""
+    for number, changes in enumerate(jobs):
+        spec = submission(**{"id": f"job-{number:06d}", "spot": False, **changes})
+        bench.core.submit(spec, "user", 5000.0)
+    bench.durable()
+    bench.report()
+    bench.step(0.1)
+    bench.durable()
+    bench.step(0.1)
+
+
+def running(bench: Bench, *tasks: tuple[str, int]) -> list[TaskReport]:
+    reports = [TaskReport(task, attempt, "running") for task, attempt in tasks]
+    bench.report(*reports)
+    return reports
+
+
+LIC = {"seats": {"lic": 1}, "cpus": 1.0}
+
+
+def test_a_seat_is_held_through_kill_saving_and_silence_until_the_proof_is_there() -> None:
+    bench = Bench([], operator=counting(SeatDefinition("lic", 1)))
+    started(
+        bench,
+        {**LIC, "priority": "low", "checkpoint_s": 5.0, "save_s": 3.0},
+        {**LIC, "priority": "high"},
+    )
+    low, high = bench.core.tables.jobs[0], bench.core.tables.jobs[1]
+    if not low.runs:
+        low, high = high, low
+    (name, attempt) = next((run.name, run.attempt) for run in low.runs.values())
+    running(bench, (name, attempt))
+    bench.core.cancel(low.spec.id, "user")
+    bench.durable()
+    bench.step(1.0)
+    bench.report(TaskReport(name, attempt, "saving"))
+    bench.step(1.0)
+    assert not high.runs, "told to stop is not gone"
+    bench.step(3.0)
+    assert not high.runs, "nor is a machine that says nothing"
+    bench.report(TaskReport(name, attempt, "exited", "stopped", True))
+    bench.step(0.2)
+    assert len(high.runs) == 1
+    assert bench.seats is not None
+    assert bench.seats.resources[0].held == 1
+
+
+def test_a_leader_that_falls_between_assignment_and_start_leaves_the_seat_held() -> None:
+    operator = counting(SeatDefinition("lic", 1))
+    first = Bench([], operator=operator)
+    started(first, LIC, LIC)
+    second = Bench(first.log, operator=operator, token=8)
+    jobs = second.core.tables.jobs
+    assert [len(jobs[n].runs) for n in (0, 1)] == [1, 0]
+    second.step(1.0)
+    second.report(token=7)
+    second.step(0.2)
+    assert not jobs[1].runs, "the start may still come: this token was not seen yet"
+    second.report(token=8)
+    second.step(0.2)
+    held = [len(jobs[n].runs) for n in (0, 1)]
+    assert sum(held) == 1
+    assert second.seats is not None
+    assert second.seats.resources[0].held == 1
+
+
+def test_proof_without_its_record_is_asked_for_again_by_the_next_leader() -> None:
+    operator = counting(SeatDefinition("lic", 1))
+    first = Bench([], operator=operator)
+    started(first, LIC, LIC)
+    running(first, ("job-000000/0", 1))
+    first.report(TaskReport("job-000000/0", 1, "exited", "done"))
+    first.step(0.2)
+    assert len(first.core.tables.jobs[1].runs) == 1, "decided, but nothing of it is durable"
+    second = Bench(first.log, operator=operator, token=8)
+    assert len(second.core.tables.jobs[0].runs) == 1
+    assert not second.core.tables.jobs[1].runs
+    second.report(TaskReport("job-000000/0", 1, "exited", "done"), token=8)
+    second.step(0.2)
+    assert len(second.core.tables.jobs[1].runs) == 1
+
+
+def test_a_start_that_may_come_late_holds_its_seat() -> None:
+    bench = Bench([], operator=counting(SeatDefinition("lic", 1)))
+    started(bench, LIC, LIC)
+    (push,) = [e for e in bench.step(0.0) if isinstance(e, Push)] or [None]
+    if push is not None:
+        bench.core.orders.pushed("m", 1, push.starts, "unknown", None)
+    bench.core.cancel("job-000000", "user")
+    bench.durable()
+    for _ in range(4):
+        # The worker does not show it, which proves nothing: it is still to come.
+        bench.report()
+        bench.step(0.4)
+    assert not bench.core.tables.jobs[1].runs
+    bench.report(TaskReport("job-000000/0", 1, "exited", "stopped"))
+    bench.step(0.2)
+    assert bench.core.tables.jobs[1].runs
+
+
+def test_a_gang_of_which_one_task_is_refused_gives_all_seats_back_and_starts_again() -> None:
+    bench = Bench([], operator=counting(SeatDefinition("lic", 2)))
+    started(bench, {**LIC, "shape": "ensemble", "tasks": 2}, {**LIC})
+    gang = bench.core.tables.jobs[0]
+    assert len(gang.runs) == 2
+    bench.report(
+        TaskReport("job-000000/0", 1, "waiting"), TaskReport("job-000000/1", 1, "exited", "no_room")
+    )
+    bench.step(0.1)
+    assert bench.seats is not None
+    assert bench.seats.resources[0].held == 2, "one of the gang, one of the other job"
+    bench.durable()
+    bench.report(TaskReport("job-000000/0", 1, "exited", "stopped"))
+    bench.durable()
+    bench.report(TaskReport("job-000001/0", 1, "running"))
+    bench.report(TaskReport("job-000001/0", 1, "exited", "done"))
+    bench.durable()
+    bench.step(4.0)
+    bench.report()
+    bench.step(0.4)
+    assert len(gang.runs) == 2
+    assert {run.attempt for run in gang.runs.values()} == {2}
+
+
+def test_a_machine_that_is_gone_for_certain_returns_its_seat_once() -> None:
+    bench = Bench([], operator=counting(SeatDefinition("lic", 1)))
+    started(bench, LIC, LIC, LIC)
+    running(bench, ("job-000000/0", 1))
+    machine = bench.core.tables.machine("m")
+    assert machine is not None
+    bench.core.delete([machine])
+    assert any(isinstance(effect, Delete) for effect in bench.step(0.1))
+    bench.report(machine="other")
+    bench.step(0.2)
+    assert not bench.core.tables.jobs[1].runs, "ordered away is not gone"
+    bench.core.deleted(("m",), True)
+    bench.core.deleted(("m",), True)
+    bench.step(0.2)
+    jobs = bench.core.tables.jobs.values()
+    assert sum(len(each.runs) for each in jobs) == 1
+    # A worker's lease that ran out is proof, too; its late report returns nothing more.
+    bench.durable()
+    bench.step(LEASE_S * 1.1 + 1.0)
+    assert bench.seats is not None
+    assert bench.seats.resources[0].held <= 1
+
+
+def test_what_is_counted_stays_counted_for_a_leader_without_the_file() -> None:
+    first = Bench([], operator=counting(SeatDefinition("lic", 1)))
+    started(first, LIC, LIC)
+    second = Bench(first.log, token=8)
+    assert second.seats is not None
+    second.report(token=8)
+    second.step(0.2)
+    assert second.seats.resources[0].held == 1
+    second.durable()
+    lowered = Bench(second.log, operator=counting(SeatDefinition("lic", 0)), token=9)
+    assert lowered.seats is not None
+    assert lowered.seats.resources[0].held == 1, "nothing is ended"
+    lowered.durable()
+    off = Bench(lowered.log, operator=counting(off=True), token=10)
+    assert off.seats is None
+    off.durable()
+    assert Bench(off.log, token=11).seats is None
+
+
+def test_a_job_whose_resource_is_gone_waits_and_says_so() -> None:
+    first = Bench([], operator=counting(SeatDefinition("lic", 1), SeatDefinition("other", 1)))
+    started(first, LIC, LIC)
+    second = Bench(first.log, operator=counting(SeatDefinition("other", 1)), token=8)
+    second.report(TaskReport("job-000000/0", 1, "exited", "done"), token=8)
+    second.step(0.2)
+    assert not second.core.tables.jobs[1].runs
+    assert second.seats is not None
+    text = show.table(second.seats.view(second.now))
+    assert "lic: not defined any more" in text
+
+
+def answers(bench: Bench, seats: Any, **changes: Any) -> tuple[int, str]:
+    bench.core.submit(submission(seats=seats, **changes), "user", 5000.0)
+    bench.durable()
+    reply = next(e for e in bench.core.take_effects() if isinstance(e, Reply))
+    return reply.status, str(reply.body.get("error", ""))
+
+
+@pytest.mark.parametrize(
+    ("seats", "changes", "status", "reason"),
+    [
+        ({"lic": 1}, {}, 201, ""),
+        ({}, {}, 201, ""),
+        ({"lid": 1}, {}, 422, "no resource 'lid'"),
+        ({"lic": 5}, {}, 422, "there are 4"),
+        ({"lic": 2}, {"tasks": 3}, 201, ""),
+        ({"lic": 2}, {"tasks": 3, "shape": "ensemble"}, 422, "6 of 'lic' at once"),
+        ({"lic": 3}, {"team": "blue"}, 422, "more than the team's limit"),
+        ({"lic": 0}, {}, 400, "seats"),
+        ({"lic": -1}, {}, 400, "seats"),
+        ({"lic": 1.5}, {}, 400, "seats"),
+        ({"lic": True}, {}, 400, "seats"),
+        ({"lic": 2**70}, {}, 400, "seats"),
+        ([["lic", 1]], {}, 400, "seats"),
+        ("lic", {}, 400, "seats"),
+        ({f"r{n}": 1 for n in range(17)}, {}, 400, "seats"),
+    ],
+)
+def test_what_a_submission_may_ask_for(
+    seats: Any, changes: dict[str, Any], status: int, reason: str
+) -> None:
+    definition = SeatDefinition("lic", 4, (TeamSeats("blue", 2),))
+    bench = Bench([], operator=counting(definition))
+    told = answers(bench, seats, **changes)
+    assert told[0] == status
+    assert reason in told[1]
+    # Where nothing is counted the field changes nothing, whatever stands in it.
+    plain = Bench([])
+    assert answers(plain, seats, **changes)[0] == 201
+    assert plain.log[-1][3][-1] is None, "recorded as if it were not there"
+
+
+def test_the_audit_tells_every_grant_and_return_in_order_through_a_snapshot() -> None:
+    operator = counting(SeatDefinition("lic", 2))
+    bench = Bench([], operator=operator)
+    started(bench, {**LIC, "tasks": 2, "priority": "high"}, LIC)
+    running(bench, ("job-000000/0", 1), ("job-000000/1", 1))
+    bench.report(
+        TaskReport("job-000000/0", 1, "exited", "done"), TaskReport("job-000000/1", 1, "running")
+    )
+    bench.durable()
+    bench.step(0.2)
+    bench.durable()
+    assert bench.seats is not None
+    kinds = [(entry[2], entry[3]) for entry in bench.seats.trail.tail]
+    assert kinds == [
+        ("define", "lic"),
+        ("grant", "job-000000"),
+        ("return", "job-000000"),
+        ("grant", "job-000001"),
+    ]
+    # A successor reads the same from the log.
+    second = Bench(bench.log, operator=operator, token=8)
+    assert second.seats is not None
+    assert second.seats.trail.tail == bench.seats.trail.tail
+    pages: dict[str, Any] = {}
+    journal = bench.core.journal
+    journal.start_snapshot([], [], bench.seats.audit, 1)
+    for _ in range(20):
+        bench.now += 1.0
+        txn = journal.next_txn(bench.now)
+        if txn is None:
+            break
+        for change in txn.changes:
+            if "put" in change and change["put"].startswith("audit/"):
+                pages[change["put"]] = change["v"]["records"]
+        bench.core.committed(9)
+
+    def ask(path: str) -> tuple[int, Any]:
+        assert bench.seats is not None
+        kind, number = path.split("/")[2:]
+        if kind == "after":
+            return 200, bench.seats.history(int(number) - 1)
+        return 200, {"entries": pages[f"audit/{int(number):08d}"]}
+
+    assert bench.seats.history(-1)["entries"] == []
+    assert [entry[0] for entry in show.history(ask)] == [0, 1, 2, 3]
+    bench.report(TaskReport("job-000001/0", 1, "exited", "done"))
+    bench.durable()
+    lines = [show.line(entry) for entry in show.history(ask)]
+    assert lines[1].endswith("grant 2 lic: job-000000/0-1#1 on m")
+    assert any(" return 1 lic: job-000001/0#1 on m" in line for line in lines[4:])
+
+
+# -- licence servers ------------------------------------------------------------------------
+
+
+def account(**changes: Any) -> Account:
+    return Account("lic", Server("10.0.0.1:1", **{"ask_s": 2.0, "silent_s": 10.0, **changes}), 3)
+
+
+def standing(serial: int, reserved: int, **changes: Any) -> Standing:
+    given = {"total": 10, "others": 0, "ttl_s": 60.0, "holders": [], **changes}
+    return msgspec.convert({"serial": serial, "reserved": reserved, **given}, Standing)
+
+
+def test_nothing_is_granted_before_the_server_answered_this_leader() -> None:
+    made = account()
+    assert made.capacity(0.0, 8) == 0
+    ask = made.ask(0.0, 5)
+    assert made.told(ask.heartbeat.serial, standing(ask.heartbeat.serial, 5), 0.2)
+    assert made.capacity(0.3, 8) == 5
+
+
+def test_a_silent_server_blocks_grants_after_the_stated_time_from_when_it_was_asked() -> None:
+    made = account()
+    ask = made.ask(0.0, 5)
+    made.told(ask.heartbeat.serial, standing(ask.heartbeat.serial, 5), 2.9)
+    assert made.capacity(9.9, 8) == 5
+    assert made.capacity(10.1, 8) == 0, "counted from the question, not from the answer"
+    trusting = account(on_silence="TRUST")
+    assert trusting.capacity(1.0, 8) == 0
+    trusting.ask(1.0, 5)
+    assert trusting.capacity(12.0, 8) == 8, "never answered this leader: the file's total"
+
+
+def test_late_repeated_and_foreign_answers_count_for_nothing() -> None:
+    made = account()
+    first = made.ask(0.0, 5).heartbeat.serial
+    assert not made.told(first, standing(first - 1, 5), 0.1)
+    second = made.ask(4.0, 5).heartbeat.serial
+    assert second > first
+    assert not made.told(first, standing(first, 9), 4.1), "of the request before"
+    assert made.told(second, standing(second, 4), 4.2)
+    assert not made.told(second, standing(second, 9), 4.3), "told twice"
+    assert made.capacity(5.0, 8) == 4
+    assert (
+        account().ask(0.0, 1).heartbeat.serial
+        < Account("lic", Server("10.0.0.1:1"), 4).ask(0.0, 1).heartbeat.serial
+    ), "a later leader's serials are higher"
+
+
+def test_a_reservation_that_may_be_shrinking_counts_for_what_was_asked_last() -> None:
+    made = account()
+    serial = made.ask(0.0, 8).heartbeat.serial
+    made.told(serial, standing(serial, 8), 0.1)
+    serial = made.ask(2.0, 1).heartbeat.serial
+    assert made.capacity(2.1, 10) == 1, "the server may have given the rest to others"
+    made.told(serial, None, 5.0)
+    assert made.capacity(5.1, 10) == 1, "no answer does not mean that it did not arrive"
+    serial = made.ask(5.2, 6).heartbeat.serial
+    made.told(serial, standing(serial, 6), 5.3)
+    assert made.capacity(5.4, 10) == 6
+
+
+def test_a_seat_given_back_is_free_once_the_server_took_it_back() -> None:
+    made = account()
+    made.took("job-000001/0#1", 2)
+    serial = made.ask(0.0, 4).heartbeat.serial
+    made.told(serial, standing(serial, 4, holders=[{"holder": "job-000001/0#1", "count": 2}]), 0.1)
+    made.gave("job-000001/0#1", 2, started=True)
+    assert made.pending() == 2
+    heartbeat = made.ask(2.0, 4).heartbeat
+    assert heartbeat.returned == ["job-000001/0#1"]
+    made.told(heartbeat.serial, None, 2.1)
+    assert made.pending() == 2
+    heartbeat = made.ask(6.0, 4).heartbeat
+    made.told(heartbeat.serial, standing(heartbeat.serial, 4), 6.1)
+    assert made.pending() == 0
+
+
+def test_holders_that_a_fallen_leader_left_behind_are_counted_and_returned() -> None:
+    made = account()
+    made.returned_before("job-000007/1#2")
+    heartbeat = made.ask(0.0, 4).heartbeat
+    assert heartbeat.returned == ["job-000007/1#2"], "the server may never have heard of it"
+    left = [{"holder": "job-000009/0#1", "count": 1}]
+    made.told(heartbeat.serial, standing(heartbeat.serial, 4, holders=left), 0.1)
+    assert made.pending() == 1
+    assert made.ask(2.0, 4).heartbeat.returned == ["job-000009/0#1"]
+
+
+def test_a_server_that_is_wrong_is_not_believed() -> None:
+    made = account()
+    heartbeat = made.ask(0.0, 4).heartbeat
+    lie = standing(heartbeat.serial, 9, total=5, others=4)
+    assert not made.told(heartbeat.serial, lie, 0.1)
+    assert made.capacity(0.2, 8) == 0
+    assert "reserves 9 of 5" in str(made.view(0.2)["refused"])
+    heartbeat = made.ask(2.0, 4).heartbeat
+    made.told(heartbeat.serial, standing(heartbeat.serial, 9), 2.1)
+    assert made.capacity(2.2, 8) == 4, "more than was asked for is not ours"
+
+
+def test_seats_over_issued_by_others_end_nothing_and_grant_nothing() -> None:
+    made = account()
+    made.took("job-000001/0#1", 3)
+    heartbeat = made.ask(0.0, 6).heartbeat
+    held = [{"holder": "job-000001/0#1", "count": 3}]
+    made.told(heartbeat.serial, standing(heartbeat.serial, 3, others=9, holders=held), 0.1)
+    assert made.refused is None
+    assert made.capacity(0.2, 8) == 3
+
+
+# -- files, pages and what is loaded ----------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "reason"),
+    [
+        ('seats { name: "lic" total: 4\n  team { name: "rde" most: 1 } }', 2, "no such team"),
+        ('seats { name: "lic" total: 4 }\nseats { name: "lic" total: 5 }', 2, "have this name"),
+        ('\nseats { name: "Lic" total: 4 }', 2, "a name is"),
+        ('seats { name: "lic"\n  totl: 4 }', 2, "totl"),
+        ('seats { name: "lic" }', 1, "total"),
+        ('seats { name: "lic" total: -1 }', 1, "total"),
+        ('seats {\n  name: "lic" total: 4\n  team { name: "red" most: 5 } }', 2, "more than"),
+        ('seats { name: "lic" total: 4 team { name: "red" most: 1 guarantee: 2 } }', 1, "above"),
+        ('seats { name: "lic" total: 4 server { address: "nowhere" } }', 1, "address"),
+        ('seats { name: "lic" total: 4 server { address: "a:1" ask_s: 20 } }', 1, "half"),
+        ('seats { name: "lic" total: 4 when_lowered: KILL }', 1, "KILL"),
+        ("seat_rules { starve_s: 0 }", 1, "starve_s"),
+    ],
+)
+def test_a_definition_that_cannot_be_meant_is_refused_with_its_line(
+    tmp_path: Path, text: str, line: int, reason: str
+) -> None:
+    teams = '[[deployment.teams]]\nname = "red"\n'
+    platform = load_settings(write(tmp_path, GOOD + teams))
+    path = tmp_path / "seats.textproto"
+    path.write_text(text)
+    with pytest.raises(SettingsError) as caught:
+        load_operator_settings(path, platform)
+    assert f"{path}:{line}:" in str(caught.value)
+    assert reason in str(caught.value)
+
+
+def test_the_example_file_is_accepted_beside_the_other(tmp_path: Path) -> None:
+    files = [ROOT / "deploy" / name for name in ("operator.textproto", "seats.textproto")]
+    settings = load_operator_settings(files, load_settings(write(tmp_path, GOOD)))
+    assert [definition.total for definition in settings.seats] == [40]
+    assert settings.silent_s == 3.0
+
+
+def test_a_node_without_counted_resources_loads_nothing_of_them() -> None:
+    code = (
+        "import sys, appleshift.cli; "
+        "print([m for m in sys.modules if 'seats' in m or 'licence' in m or m == 'tabulate'])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "[]"
+
+
+def test_the_table_says_what_is_stale_and_over() -> None:
+    server = Server("10.0.0.1:1", ask_s=1.0, silent_s=5.0)
+    definitions = (SeatDefinition("own", 2), SeatDefinition("served", 3, (), server))
+    bench = Bench([], operator=counting(*definitions))
+    assert bench.seats is not None
+    (ask,) = bench.seats.asks(bench.now)
+    text = show.table(bench.seats.view(bench.now))
+    assert "served: STALE" in text
+    bench.seats.told("served", ask.heartbeat.serial, standing(ask.heartbeat.serial, 0), bench.now)
+    text = show.table(bench.seats.view(bench.now + 1.0))
+    assert "STALE" not in text
+    started(bench, {**LIC, "seats": {"own": 1}, "tasks": 3})
+    rows = [line.split() for line in show.table(bench.seats.view(bench.now)).splitlines()]
+    assert ["own", "2", "2", "2", "0", "1", "-", "-", "red", "2"] in rows
--- /dev/null
+++ b/tests/test_seats_loopback.py
@@ -0,0 +1,99 @@
+"""Real controllers, 400 jobs that contend for 40 seats of a licence server."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from appleshift.transport.client import ClientError, HttpClient
+from tests.loopback import PATIENCE_S, Loopback
+
+SEATS = 40
+OPERATOR = """
+silent_s: 2.0
+seats {
+  name: "lic"
+  total: 100
+  server { address: "127.0.0.1:LICENCES" ask_s: 1 silent_s: 10 }
+}
+"""
+SMALL: dict[str, Any] = {"seats": {"lic": 1}, "pieces": 1, "vcpus": 0.25, "ram_gb": 0.25}
+SAVING: dict[str, Any] = {**SMALL, "snapshot_every_s": 1.0, "snapshot_cost_s": 0.8}
+
+
+def told(made: Loopback, job_id: str) -> str | None:
+    names = itertools.cycle(made.names)
+    for _ in range(6):
+        client = HttpClient(("127.0.0.1", made.public[next(names)]))
+        try:
+            status, body = client.request("GET", f"/submissions/{job_id}", None, 3.0)
+        except ClientError:
+            continue
+        finally:
+            client.close()
+        if status == 200:
+            return str(msgspec.msgpack.decode(body)["status"])
+    return None
+
+
+def all_end(made: Loopback, jobs: list[str]) -> None:
+    until = time.monotonic() + 2 * PATIENCE_S
+    left = list(jobs)
+    while left:
+        left = [job_id for job_id in left if told(made, job_id) != "done"]
+        if time.monotonic() > until:
+            pytest.fail(f"{len(left)} of {len(jobs)} jobs have not ended, first {left[:3]}")
+        time.sleep(0.3)
+
+
+@pytest.fixture
+def loopback(tmp_path: Path) -> Iterator[Loopback]:
+    made = Loopback(tmp_path, operator=OPERATOR, licences={"lic": SEATS})
+    yield made
+    made.close()
+
+
+def test_400_jobs_on_40_seats_through_killed_machines_and_leaders(loopback: Loopback) -> None:
+    made = loopback
+    jobs = [made.submit(n, urgency="low", **SAVING) for n in range(1, 61)]
+    made.run_s = dict.fromkeys(jobs, 1.5)
+    jobs += [made.submit(n, **SMALL) for n in range(61, 201)]
+    for round_number in range(2):
+        with made.clock.lock:
+            victim = max(made.workers.values(), key=lambda worker: len(worker.tasks))
+        made.die(victim)
+        first = 201 + 100 * round_number
+        jobs += [made.submit(n, urgency="critical", **SMALL) for n in range(first, first + 100)]
+        leader = made.leader()
+        made.processes[leader].kill()
+        made.processes[leader].wait()
+        made.launch(leader)
+    all_end(made, jobs)
+    assert len(jobs) == 400
+    assert made.licences.over == []
+    assert made.licences.refused == []
+    assert made.rules.broken == []
+    assert made.licences.most > SEATS // 2, "they contended for seats"
+
+
+def test_the_loopback_check_catches_a_seat_returned_at_the_kill_order(tmp_path: Path) -> None:
+    made = Loopback(tmp_path, ("-m", "tests.planted"), OPERATOR, {"lic": SEATS})
+    try:
+        jobs = [made.submit(n, urgency="low", **SAVING) for n in range(1, SEATS + 1)]
+        made.run_s = dict.fromkeys(jobs, 60.0)
+        for job_id in jobs:
+            made.ask(job_id, "poll", "running")
+        for n in range(SEATS + 1, 2 * SEATS + 1):
+            made.submit(n, urgency="critical", **SMALL)
+        until = time.monotonic() + PATIENCE_S
+        while not made.rules.broken and time.monotonic() < until:
+            time.sleep(0.1)
+        assert any(broken.startswith("seats") for broken in made.rules.broken)
+    finally:
+        made.close()
--- /dev/null
+++ b/tests/test_seats_model.py
@@ -0,0 +1,78 @@
+"""The model of counted resources, and that it finds what it is for."""
+
+from __future__ import annotations
+
+import traceback
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from appleshift.coordination.core import Core
+from appleshift.seats.part import SeatsPart
+from tests.seats_model import SeatsMachine
+from tests.test_seats_world import give_at_the_kill_order
+
+SAME_EACH_TIME = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=50,
+    suppress_health_check=list(HealthCheck),
+)
+FINDS = settings(SAME_EACH_TIME, max_examples=400, phases=[Phase.generate])
+
+
+def test_counts_hold_whatever_is_lost_late_or_repeated() -> None:
+    run_state_machine_as_test(SeatsMachine, settings=SAME_EACH_TIME)
+
+
+class OnlyTheCount(SeatsMachine):
+    """Nothing but what is on machines is looked at."""
+
+    def the_book_agrees_with_the_tables(self) -> None:
+        pass
+
+    def the_audit_is_whole(self) -> None:
+        pass
+
+
+def found(machine: type[SeatsMachine], what: str) -> bool:
+    try:
+        run_state_machine_as_test(machine, settings=FINDS)
+    except AssertionError as error:
+        return what in "".join(traceback.format_exception(error))
+    return False
+
+
+class TestPlantedDefectsAreCaught:
+    def test_a_seat_that_is_returned_at_the_kill_order(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        give_at_the_kill_order(monkeypatch)
+        assert found(OnlyTheCount, "in use")
+
+    def test_a_seat_that_is_returned_when_its_machine_falls_silent(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        tick = Core._tick
+
+        def hasty(self: Core) -> None:
+            for machine in list(self.tables.machines.values()):
+                if machine.runs and machine.last_heard < self.now - 2.0:
+                    self.session_over(machine)
+            tick(self)
+
+        monkeypatch.setattr(Core, "_tick", hasty)
+        assert found(OnlyTheCount, "in use")
+
+    def test_a_new_leader_that_starts_before_it_counts(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def late(self: SeatsPart) -> None:
+            for resource in self.resources:
+                resource.held = 0
+
+        monkeypatch.setattr(SeatsPart, "recovered", late)
+        assert found(OnlyTheCount, "in use")
--- /dev/null
+++ b/tests/test_seats_world.py
@@ -0,0 +1,140 @@
+"""Seeded days with counted resources: none is ever in use twice, whatever fails."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from appleshift.bookkeeping.tables import Tables
+from appleshift.coordination.core import Core
+from appleshift.protocol.operator import OperatorSettings
+from appleshift.protocol.seats import LicenceServer as Server
+from appleshift.protocol.seats import SeatDefinition, SeatRules, TeamSeats
+from tests.chaos import heal, unleash
+from tests.licences import LicenceServer
+from tests.world import LICENCES, World
+
+TOTALS = {"plain": 5, "served": 6}
+OPERATOR = OperatorSettings(
+    snapshot_kb=16,
+    silent_s=4.0,
+    seats=(
+        SeatDefinition("plain", 5, (TeamSeats("red", 4, 2), TeamSeats("blue", 0, 2))),
+        SeatDefinition("served", 6, (), Server(LICENCES, ask_s=1.0, silent_s=12.0)),
+    ),
+    seat_rules=SeatRules(starve_s=10.0),
+)
+
+
+def seated(seed: int, operator: OperatorSettings = OPERATOR) -> World:
+    world = World(seed, operator)
+    world.rules.seat_totals = TOTALS
+    # Longer than any fall of all nodes: a started task finds its seat.
+    world.licences = LicenceServer(world.sim, {"served": 6}, ttl_s=90.0)
+    return world
+
+
+def submit_some(world: World, jobs: int, until: float) -> None:
+    for _ in range(jobs):
+        seats: dict[str, Any] = {}
+        for name, total in TOTALS.items():
+            if world.rng.random() < 0.6:
+                seats[name] = world.rng.randint(1, 2 if total > 4 else 1)
+        changes: dict[str, Any] = {"seats": seats}
+        if world.rng.random() < 0.5:
+            # Saves when it is stopped, and holds its seat while it does.
+            changes |= {"snapshot_every_s": 5.0, "snapshot_cost_s": 3.0}
+        world.sim.after(
+            world.rng.uniform(0.0, until), lambda changes=changes: world.submit(**changes)
+        )
+
+
+def outsiders(world: World, until: float) -> None:
+    """Others take seats and give them back, now and then."""
+    assert world.licences is not None
+    pool = world.licences.pools["served"]
+
+    def come() -> None:
+        assert world.licences is not None
+        got = world.licences.others_take("served", world.rng.randint(1, 3))
+        world.sim.after(world.rng.uniform(3.0, 20.0), lambda: go(got))
+
+    def go(count: int) -> None:
+        pool.others -= count
+
+    at = 5.0
+    while at < until:
+        world.sim.after(at, come)
+        at += world.rng.uniform(4.0, 15.0)
+
+
+def settled(world: World) -> list[str]:
+    return [
+        job_id
+        for job_id, job in world.rules.jobs.items()
+        if job.spec["shape"] != "daemon" and job.accepted and job.told is None
+    ]
+
+
+def day(seed: int, operator: OperatorSettings = OPERATOR) -> World:
+    world = seated(seed, operator)
+    try:
+        submit_some(world, 30, 70.0)
+        outsiders(world, 90.0)
+        unleash(world, 90.0, 8.0)
+        assert world.licences is not None
+        for at in (30.0, 60.0):
+            world.sim.after(at, lambda: setattr(world.licences, "out", True))
+            world.sim.after(at + 14.0, lambda: setattr(world.licences, "out", False))
+        world.sim.after(100.0, lambda: heal(world))
+        world.run(260.0)
+    finally:
+        world.close()
+    return world
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_seat_is_in_use_twice_through_random_troubles(seed: int) -> None:
+    world = day(seed)
+    assert world.licences is not None
+    assert world.licences.over == []
+    assert world.licences.refused == []
+    assert world.rules.starts > 20
+    assert world.licences.most >= 4, "the server's seats were contended for"
+
+
+def give_at_the_kill_order(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The defect that the checks are for: a seat back before its task is gone."""
+    stop, gave = Core.stop, Tables.free
+    early: set[int] = set()
+
+    def stopping(self: Core, run: Any, grace: float, reason: str) -> None:
+        counted = self.tables.counted
+        if counted is not None and run.job.seats and id(run) not in early:
+            early.add(id(run))
+            counted.gave(run)
+        stop(self, run, grace, reason)
+
+    def freed(self: Tables, run: Any) -> None:
+        if id(run) in early and run.job.runs.get(run.task) is run and self.counted is not None:
+            self.counted.took(run)
+        gave(self, run)
+
+    monkeypatch.setattr(Core, "stop", stopping)
+    monkeypatch.setattr(Tables, "free", freed)
+
+
+def test_the_days_catch_a_seat_that_is_returned_at_the_kill_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    give_at_the_kill_order(monkeypatch)
+    caught = 0
+    for seed in range(4):
+        try:
+            world = day(seed)
+            assert world.licences is not None
+            caught += bool(world.licences.refused)
+        except AssertionError as error:
+            caught += "seats at" in str(error)
+    assert caught >= 2
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,11 +18,14 @@
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.transport.client import ClientError
 from appleshift.transport.server import Request
+from tests.licences import LicenceServer
 from tests.rules import Rules, Seen
 from tests.sim import Sim, SimRoutines
 from tests.sites import CANCEL_S, GANG_PEER_S, GANG_WAIT_S, LEASE_S, REPORT_S, SMALL, Site
 from tests.standins import Cloud, Reply, Rig, StateService, Task, Worker
 
+LICENCES = "10.3.0.1:27000"
+
 
 class Client:
     """A node's connection to something in the world."""
@@ -103,6 +106,7 @@
         self.state = StateService(self.sim, site.write_rps, 8.0, 8)
         self.cloud = Cloud(self.sim, site.kinds, site.capacity, 2.0, self._boot, self._end)
         self.workers: dict[str, Worker] = {}
+        self.licences: LicenceServer | None = None
         self.lossy = 0.004
         self.late_s = 40.0
         self.cuts: set[str] = set()
@@ -161,6 +165,8 @@
             self.state.handle(source, method, path, decoded, reply)
         elif target == "10.2.0.2:8443":
             self.cloud.handle(source, method, path, decoded, reply)
+        elif target == LICENCES and self.licences is not None:
+            self.licences.handle(source, method, path, decoded, reply)
         elif target in self.workers:
             worker = self.workers[target]
 
@@ -289,9 +295,38 @@
 
     def on_machine(self, piece: str, worker: Worker) -> None:
         self.rules.on_machine(self.sim.now, piece, worker.info())
+        for resource, holder, count in self._licensed(piece, worker):
+            # A moment later: the task's own request to the server.
+            self.sim.after(
+                self._delay(),
+                lambda r=resource, h=holder, c=count: self._check_out(piece, worker, r, h, c),
+            )
+
+    def _check_out(
+        self, piece: str, worker: Worker, resource: str, holder: str, count: int
+    ) -> None:
+        assert self.licences is not None
+        task = worker.tasks.get((piece, int(holder.split("#")[1])))
+        if not worker.dead and task is not None and task.status != "exited":
+            self.licences.check_out(resource, holder, count)
 
     def off_machine(self, piece: str, worker: Worker, done: bool) -> None:
         self.rules.off_machine(self.sim.now, piece, worker.rig.name, done)
+        for resource, holder, _ in self._licensed(piece, worker):
+            # What died with its machine never says so: the server finds out later.
+            delay = 15.0 if worker.dead else 0.0
+            self.sim.after(delay, lambda r=resource, h=holder: self.licences.check_in(r, h))
+
+    def _licensed(self, piece: str, worker: Worker) -> list[tuple[str, str, int]]:
+        job = self.rules.jobs[piece.split("/")[0]]
+        if self.licences is None or not job.spec.get("seats"):
+            return []
+        attempts = [task.attempt for task in worker.tasks.values() if task.piece == piece]
+        return [
+            (resource, f"{piece}#{max(attempts)}", count)
+            for resource, count in job.spec["seats"].items()
+            if resource in self.licences.pools and attempts
+        ]
 
     def gang_changed(self, task: Task, worker: Worker) -> None:
         job_id = task.piece.split("/")[0]
