--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -10,7 +10,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 
@@ -32,15 +32,16 @@
     Run,
     Tables,
 )
-from appleshift.coordination.admission import refusal
-from appleshift.coordination.aims import Aims
-from appleshift.coordination.counted import Seats
-from appleshift.coordination.effects import Delete, Effect, Reply
-from appleshift.coordination.fleet import Fleet
-from appleshift.coordination.orders import REORDER_S, Orders
+from appleshift.coordination.fleet.fleet import Fleet
+from appleshift.coordination.outgoing.effects import Delete, Effect, Reply
+from appleshift.coordination.outgoing.orders import REORDER_S, Orders
 from appleshift.coordination.pace import Pace
-from appleshift.coordination.placement import Placer
-from appleshift.coordination.room import stop_grace
+from appleshift.coordination.parts import Authority
+from appleshift.coordination.placing.admission import refusal
+from appleshift.coordination.placing.aims import Aims
+from appleshift.coordination.placing.counted import Seats
+from appleshift.coordination.placing.placement import Placer
+from appleshift.coordination.placing.room import stop_grace
 from appleshift.protocol import cloud, users, workers
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Settings
@@ -69,18 +70,6 @@
 FINAL_NAMES = {FINISHED: users.DONE, CANCELLED: users.CANCELLED}
 
 
-class Authority(Protocol):
-    """What this node may do right now, by its own clock."""
-
-    def may_write(self, now: float) -> bool:
-        """The leadership lease certainly holds."""
-        ...
-
-    def may_answer(self, now: float) -> bool:
-        """No other node can lead: by the lease, or by every sibling's pledge."""
-        ...
-
-
 class Core:
     """Jobs, machines and every decision of one term."""
 
--- a/appleshift/coordination/desk.py
+++ b/appleshift/coordination/desk.py
@@ -10,8 +10,8 @@
 
 from appleshift.bookkeeping.journal import audit_key
 from appleshift.bookkeeping.store import Store, StoreError
-from appleshift.coordination.election import Election
-from appleshift.coordination.leadership import Leadership
+from appleshift.coordination.leading.election import Election
+from appleshift.coordination.leading.leadership import Leadership
 from appleshift.protocol import peers, users, workers
 from appleshift.protocol.wire import ProtocolError, encode
 from appleshift.transport.client import Caller, ClientError
--- /dev/null
+++ b/appleshift/coordination/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The machines: rented, trusted, emptied and returned."""
--- a/appleshift/coordination/consolidation.py
+++ b/appleshift/coordination/fleet/consolidation.py
@@ -9,13 +9,10 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
 
 from appleshift.bookkeeping.tables import EPSILON, RUNNING, UP, Job, Machine, Run
-from appleshift.coordination.room import zone_room
-
-if TYPE_CHECKING:
-    from appleshift.coordination.fleet import Fleet
+from appleshift.coordination.parts import Machines
+from appleshift.coordination.placing.room import zone_room
 
 log = logging.getLogger(__name__)
 
@@ -29,7 +26,7 @@
 class Consolidation:
     """At most one machine is being emptied."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Machines) -> None:
         self.fleet = fleet
         self.tables = fleet.tables
         self.started = fleet.core.now
--- a/appleshift/coordination/fleet.py
+++ b/appleshift/coordination/fleet/fleet.py
@@ -4,25 +4,23 @@
 
 import logging
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from appleshift.bookkeeping import records
 from appleshift.bookkeeping.tables import BOOTING, UP, Machine
-from appleshift.coordination.consolidation import Consolidation
-from appleshift.coordination.effects import Rent
-from appleshift.coordination.health import Health
+from appleshift.coordination.fleet.consolidation import Consolidation
+from appleshift.coordination.fleet.health import Health
+from appleshift.coordination.fleet.provisioning import Pool
+from appleshift.coordination.outgoing.effects import Rent
 from appleshift.coordination.pace import Pace
-from appleshift.coordination.placement import Shortage
-from appleshift.coordination.provisioning import Pool
-from appleshift.coordination.room import stop_grace
+from appleshift.coordination.parts import Term, Trust
+from appleshift.coordination.placing.placement import Shortage
+from appleshift.coordination.placing.room import stop_grace
 from appleshift.protocol import cloud
 from appleshift.protocol.cloud import ListedMachine, MachineType
 from appleshift.protocol.users import Submission
 from appleshift.protocol.workers import Report
 
-if TYPE_CHECKING:
-    from appleshift.coordination.core import Core
-
 log = logging.getLogger(__name__)
 
 REVIEW_GAP_S = 1.0
@@ -35,7 +33,7 @@
 class Fleet:
     """Part of the core: shares its tables, clock and effects."""
 
-    def __init__(self, core: Core, groups: Any) -> None:
+    def __init__(self, core: Term, groups: Any) -> None:
         self.core = core
         self.tables = core.tables
         self.operator = core.operator
@@ -72,6 +70,10 @@
         self.consolidation = Consolidation(self)
         self.health = Health(self)
 
+    @property
+    def trust(self) -> Trust:
+        return self.health
+
     # -- what others tell -------------------------------------------------------
 
     def types(self, types: list[MachineType]) -> None:
--- a/appleshift/coordination/health.py
+++ b/appleshift/coordination/fleet/health.py
@@ -10,13 +10,10 @@
 
 import logging
 from itertools import islice
-from typing import TYPE_CHECKING
 
 from appleshift.bookkeeping.tables import EXITED, UP, Job, Machine
-from appleshift.coordination.effects import Inspect
-
-if TYPE_CHECKING:
-    from appleshift.coordination.fleet import Fleet
+from appleshift.coordination.outgoing.effects import Inspect
+from appleshift.coordination.parts import Machines
 
 log = logging.getLogger(__name__)
 
@@ -51,7 +48,7 @@
 class Health:
     """Part of the fleet: looks at every machine a few times a second."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Machines) -> None:
         self._fleet = fleet
         self._core = fleet.core
         self._tables = fleet.tables
--- a/appleshift/coordination/provisioning.py
+++ b/appleshift/coordination/fleet/provisioning.py
@@ -5,17 +5,14 @@
 import logging
 import math
 from collections import Counter
-from typing import TYPE_CHECKING
 
 from appleshift.bookkeeping.tables import BOOTING, OPEN, UP, Job, Machine
-from appleshift.coordination.room import how_many, zone_room
-from appleshift.coordination.scaling import Market, Plan, find_plan, machines_for
+from appleshift.coordination.fleet.scaling import Market, Plan, find_plan, machines_for
+from appleshift.coordination.parts import Machines
+from appleshift.coordination.placing.room import how_many, zone_room
 from appleshift.protocol import cloud
 from appleshift.protocol.cloud import MachineType
 
-if TYPE_CHECKING:
-    from appleshift.coordination.fleet import Fleet
-
 log = logging.getLogger(__name__)
 
 PROMPT_BOOTS = 2.0
@@ -25,7 +22,7 @@
 class Pool:
     """One review of the machines with cards, or of those without."""
 
-    def __init__(self, fleet: Fleet, gpus: bool) -> None:
+    def __init__(self, fleet: Machines, gpus: bool) -> None:
         self.fleet = fleet
         self.gpus = gpus
         tables = fleet.tables
@@ -35,7 +32,7 @@
             for machine in tables.machines.values()
             if machine.type in self.kinds
             # What cannot be heard is no capacity, though it may come back.
-            and fleet.health.counts(machine.zone)
+            and fleet.trust.counts(machine.zone)
             and not (machine.asked_gone or machine.sick or machine.draining or machine.cordoned)
         ]
         self.steady = min(
--- a/appleshift/coordination/election.py
+++ b/appleshift/coordination/leading/election.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from appleshift.bookkeeping.store import LeaseGoneError, Store, StoreError, TxnFailedError
-from appleshift.coordination.leadership import Leadership
+from appleshift.coordination.leading.leadership import Leadership
 from appleshift.protocol import peers, state
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.wire import ProtocolError, encode
--- a/appleshift/coordination/orders.py
+++ b/appleshift/coordination/outgoing/orders.py
@@ -6,16 +6,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from appleshift.bookkeeping.tables import EXITED, ORDERED, Machine
-from appleshift.coordination.effects import Push
+from appleshift.coordination.outgoing.effects import Push
+from appleshift.coordination.parts import Term
 from appleshift.protocol import workers
 from appleshift.protocol.workers import Report
 
-if TYPE_CHECKING:
-    from appleshift.coordination.core import Core
-
 REORDER_S = 1.0
 """A command without visible effect is pushed again after this long."""
 MAX_COMMANDS = 400
@@ -25,7 +23,7 @@
 class Orders:
     """Part of the core: the machines that have something to be told."""
 
-    def __init__(self, core: Core) -> None:
+    def __init__(self, core: Term) -> None:
         self._core = core
         self._due: set[int] = set()
 
--- a/appleshift/coordination/outbound.py
+++ b/appleshift/coordination/outgoing/outbound.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from appleshift.coordination.effects import Delete, Inspect, Push, Rent
+from appleshift.coordination.outgoing.effects import Delete, Inspect, Push, Rent
 from appleshift.protocol import cloud, workers
 from appleshift.protocol.settings import split_address
 from appleshift.protocol.wire import ProtocolError, decode, encode
--- a/appleshift/coordination/admission.py
+++ b/appleshift/coordination/placing/admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from appleshift.bookkeeping.tables import Tables, type_fits
-from appleshift.coordination.counted import Seats
+from appleshift.coordination.placing.counted import Seats
 from appleshift.protocol import users
 from appleshift.protocol.users import Submission
 
--- a/appleshift/coordination/placement.py
+++ b/appleshift/coordination/placing/placement.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass, field
 
 from appleshift.bookkeeping.tables import EPSILON, OPEN, Job, Machine, Run, Tables
-from appleshift.coordination.aims import Aims
-from appleshift.coordination.counted import SeatPass
-from appleshift.coordination.preemption import Preemption
-from appleshift.coordination.room import Failures, how_many, zone_room
+from appleshift.coordination.placing.aims import Aims
+from appleshift.coordination.placing.counted import SeatPass
+from appleshift.coordination.placing.preemption import Preemption
+from appleshift.coordination.placing.room import Failures, how_many, zone_room
 
 SLOW_FETCH = 4 / 3
 """Machines fetch images at their rate, give or take a third."""
--- a/appleshift/coordination/preemption.py
+++ b/appleshift/coordination/placing/preemption.py
@@ -8,14 +8,17 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from appleshift.bookkeeping.tables import EPSILON, EXITED, ORDERED, Job, Machine, Run
-from appleshift.coordination.room import Failures, how_many, lost_work, stop_grace, zone_room
-
-if TYPE_CHECKING:
-    from appleshift.coordination.placement import Placer
-    from appleshift.protocol.users import Submission
+from appleshift.bookkeeping.tables import EPSILON, EXITED, ORDERED, Job, Machine, Run, Tables
+from appleshift.coordination.placing.room import (
+    Failures,
+    how_many,
+    lost_work,
+    stop_grace,
+    zone_room,
+)
+from appleshift.protocol.users import Submission
 
 
 @dataclass(slots=True)
@@ -50,10 +53,28 @@
         return True
 
 
+class PassView(Protocol):
+    """The placement pass that asks whom to stop."""
+
+    tables: Tables
+    now: float
+    pools: dict[tuple[int, int, bool], list[Machine]]
+
+    def place_key(self, job: Job) -> tuple[object, ...]: ...
+
+    def allowed(self, job: Job, cards: bool = False) -> Iterator[Machine]: ...
+
+    def first_fit(self, job: Job, machines: list[Machine]) -> list[Machine]: ...
+
+    def within_guarantee(self, job: Job) -> bool: ...
+
+    def late(self, job: Job) -> int: ...
+
+
 class Preemption:
     """The victims of one placement pass."""
 
-    def __init__(self, placer: Placer) -> None:
+    def __init__(self, placer: PassView) -> None:
         self._placer = placer
         self._tables = placer.tables
         self._rooms: dict[int, _Room] = {}
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -14,15 +14,15 @@
 from appleshift.bookkeeping.records import Replay, Trail
 from appleshift.bookkeeping.store import Store, StoreError, recover
 from appleshift.bookkeeping.tables import Tables
-from appleshift.coordination.commit import Committer
 from appleshift.coordination.core import Core
-from appleshift.coordination.counted import Seats
 from appleshift.coordination.desk import Desk
-from appleshift.coordination.effects import Delete, Effect, Inspect, Push, Rent, Reply
-from appleshift.coordination.election import LEADER_KEY, Election, Term
-from appleshift.coordination.leadership import Leadership
-from appleshift.coordination.outbound import CloudCalls, WorkerCalls
+from appleshift.coordination.leading.commit import Committer
+from appleshift.coordination.leading.election import LEADER_KEY, Election, Term
+from appleshift.coordination.leading.leadership import Leadership
+from appleshift.coordination.outgoing.effects import Delete, Effect, Inspect, Push, Rent, Reply
+from appleshift.coordination.outgoing.outbound import CloudCalls, WorkerCalls
 from appleshift.coordination.pace import Capacity, Load
+from appleshift.coordination.placing.counted import Seats
 from appleshift.protocol import users
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Settings, split_address
--- a/appleshift/seats/grants.py
+++ b/appleshift/seats/grants.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from appleshift.bookkeeping.tables import EXITED, OPEN, ORDERED, Job, Run
-from appleshift.coordination.room import lost_work, stop_grace
+from appleshift.coordination.placing.room import lost_work, stop_grace
 from appleshift.protocol.seats import STOP
 from appleshift.seats.book import Book, Promise
 
--- a/tests/measure_seats.py
+++ b/tests/measure_seats.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from appleshift.bookkeeping.tables import RUNNING, UP, Tables
-from appleshift.coordination.placement import Placer
+from appleshift.coordination.placing.placement import Placer
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.seats import LicenceServer as Server
 from appleshift.protocol.seats import SeatDefinition, SeatRules
--- a/tests/seats_model.py
+++ b/tests/seats_model.py
@@ -20,7 +20,7 @@
 from appleshift.bookkeeping.records import Replay
 from appleshift.bookkeeping.tables import Tables
 from appleshift.coordination.core import Core
-from appleshift.coordination.effects import Delete, Push, Rent, Reply
+from appleshift.coordination.outgoing.effects import Delete, Push, Rent, Reply
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.seats import SeatDefinition, SeatRules, TeamSeats
 from appleshift.protocol.workers import Report, TaskReport
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,7 +12,7 @@
 from appleshift.bookkeeping.records import Replay
 from appleshift.bookkeeping.tables import UP, Tables
 from appleshift.coordination.core import Core
-from appleshift.coordination.effects import Delete, Inspect, Push, Rent, Reply
+from appleshift.coordination.outgoing.effects import Delete, Inspect, Push, Rent, Reply
 from appleshift.protocol.cloud import decode_list
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Objective, Settings
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from appleshift.coordination.leadership import Leadership
+from appleshift.coordination.leading.leadership import Leadership
 
 P, TTL = 6.0, 2.0
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from appleshift.bookkeeping.tables import RUNNING, Run, Tables
-from appleshift.coordination.aims import Aims
-from appleshift.coordination.placement import Pass, Placer
+from appleshift.coordination.placing.aims import Aims
+from appleshift.coordination.placing.placement import Pass, Placer
 from appleshift.protocol.settings import Objective, TeamLimits
 from tests.make import job, machine, tables
 
--- a/tests/test_placement_equal.py
+++ b/tests/test_placement_equal.py
@@ -8,8 +8,8 @@
 import pytest
 
 from appleshift.bookkeeping.tables import EXITED, ORDERED, RUNNING, Job, Tables
-from appleshift.coordination.placement import Placer
-from appleshift.coordination.preemption import Preemption
+from appleshift.coordination.placing.placement import Placer
+from appleshift.coordination.placing.preemption import Preemption
 from appleshift.protocol.settings import TeamLimits
 from tests.make import job, tables
 
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from appleshift.coordination.scaling import (
+from appleshift.coordination.fleet.scaling import (
     Market,
     Mixes,
     Plan,
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -11,8 +11,8 @@
 import pytest
 
 from appleshift.bookkeeping.tables import RUNNING, Job, Tables
-from appleshift.coordination.effects import Delete, Push, Reply
-from appleshift.coordination.placement import Pass, Placer
+from appleshift.coordination.outgoing.effects import Delete, Push, Reply
+from appleshift.coordination.placing.placement import Pass, Placer
 from appleshift.protocol.licences import Standing
 from appleshift.protocol.operator import OperatorSettings, load_operator_settings
 from appleshift.protocol.seats import LicenceServer as Server
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -9,8 +9,8 @@
 
 from appleshift.bookkeeping.store import Store
 from appleshift.coordination import core
-from appleshift.coordination.fleet import Fleet
-from appleshift.coordination.leadership import Leadership
+from appleshift.coordination.fleet.fleet import Fleet
+from appleshift.coordination.leading.leadership import Leadership
 from appleshift.transport.server import Request
 from tests.chaos import heal, outages, unleash
 from tests.rules import Seen
