--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -178,6 +178,7 @@
         "index",
         "last_heard",
         "lease_until",
+        "listed_addr",
         "listed_at",
         "name",
         "notice_at",
@@ -220,6 +221,7 @@
         self.last_heard = 0.0
         self.lease_until = 0.0
         self.listed_at: float | None = None
+        self.listed_addr = ""
         self.rented_at = 0.0
         self.idle_since = 0.0
         self.notice_at: float | None = None
--- a/appleshift/coordination/desk.py
+++ b/appleshift/coordination/desk.py
@@ -8,10 +8,14 @@
 from typing import Any
 from urllib.parse import unquote, urlsplit
 
+import msgspec
+
 from appleshift.bookkeeping.journal import audit_key
 from appleshift.bookkeeping.store import Store, StoreError
 from appleshift.coordination.leading.election import Election
 from appleshift.coordination.leading.leadership import Leadership
+from appleshift.intake import routes
+from appleshift.intake.relay import Relay
 from appleshift.protocol import peers, users, workers
 from appleshift.protocol.wire import ProtocolError, encode
 from appleshift.transport.client import Caller, ClientError
@@ -24,6 +28,8 @@
 ANSWER_S = 4.0
 """Users wait 5 s for most answers, workers 4 s; later ones help nobody."""
 FORWARD_S = 1.8
+RELAYED_S = 2.5
+"""A relay waits 3 s for a batch's answers, its workers 4 s."""
 PAGES_RPS = 2.0
 """Pages of the audit that a node reads in a second. They come out of its share
 of the state service's requests, which renewals of its lease need first."""
@@ -56,6 +62,7 @@
         reaches: Callable[[str], bool],
         routines: Routines,
         store: Store,
+        hears: Callable[[], int] = lambda: 0,
     ) -> None:
         self._routines = routines
         self._election = election
@@ -65,6 +72,8 @@
         self._load = load
         self._reaches = reaches
         self._store = store
+        self._hears = hears
+        self._relay = Relay(siblings, routines)
         self._pages = RateBudget(routines, PAGES_RPS)
 
     # -- listeners ------------------------------------------------------------
@@ -84,8 +93,12 @@
                 leadership.leading,
                 leadership.token,
                 leadership.may_answer(self._routines.now()),
+                self._election.share if leadership.leading else 0.0,
+                self._election.can_relay(),
             )
             return respond(200, hello)
+        if request.path == peers.REPORTS_PATH and request.method == "POST":
+            return self._reports(request.body)
         if request.path == peers.REACH_PATH and request.method == "POST":
             return self._reach(request.body)
         return self._guarded(request, forwarded=True)
@@ -163,12 +176,52 @@
         return self._ask(kind, job_id)
 
     def _beat(self, body: bytes) -> Response:
-        if self._elsewhere():
-            # A malformed report is refused by every node alike.
-            workers.decode_report(body)
-            leader = self._election.current_leader()
-            return respond(421, workers.redirect(None if leader == self._election.name else leader))
-        return self._ask("report", workers.decode_report(body))
+        # A malformed report is refused by every node alike.
+        report = workers.decode_report(body)
+        election = self._election
+        here = election.name
+        share = election.sent_away()
+        relay = routes.place(report.machine, share, election.relays()) if share else None
+        if not self._elsewhere():
+            if relay is not None and relay != here:
+                return respond(421, workers.redirect(relay))
+            return self._ask("report", report)
+        leader = election.current_leader()
+        if relay == here and leader is not None and leader != here:
+            status, answer = self._relay.pass_on(leader, body)
+            return Response(status, answer)
+        to = relay or leader
+        return respond(421, workers.redirect(None if to == here else to))
+
+    def _reports(self, body: bytes) -> Response:
+        """What a relay has gathered: each report is answered as if it had come here."""
+        try:
+            batch = peers.decode_reports(body)
+        except ProtocolError as error:
+            return respond(error.status, users.error_body(error.reason))
+        waiting: list[tuple[Response | None, Any]] = []
+        for raw in batch.reports:
+            slot = self._routines.mailbox()
+            if self._elsewhere() or self._load() > MOST_LOAD["report"]:
+                waiting.append((unavailable(), slot))
+                continue
+            try:
+                self._post("report", workers.decode_report(bytes(raw)), slot)
+                waiting.append((None, slot))
+            except ProtocolError as error:
+                waiting.append((respond(error.status, users.error_body(error.reason)), slot))
+        until = self._routines.now() + RELAYED_S
+        answers = []
+        for response, slot in waiting:
+            if response is None:
+                try:
+                    left = max(0.0, until - self._routines.now())
+                    status, told, _ = slot.get(timeout=left)
+                    response = respond(status, told)
+                except queue.Empty:
+                    response = unavailable()
+            answers.append(peers.RelayedAnswer(response.status, msgspec.Raw(response.body)))
+        return respond(200, peers.ReportAnswers(answers))
 
     def _ask(self, kind: str, what: Any) -> Response:
         """Put it to the core and wait for the answer."""
@@ -219,6 +272,9 @@
             "leading": leadership.leading,
             "leader": self._election.leader,
             "token": max(leadership.token, leadership.seen_token),
+            "relays": self._election.relays(),
+            "sent_away": self._election.sent_away(),
+            "hears": self._hears(),
         }
         return respond(200, body)
 
--- a/appleshift/coordination/fleet/fleet.py
+++ b/appleshift/coordination/fleet/fleet.py
@@ -11,8 +11,8 @@
 from appleshift.coordination.fleet.consolidation import Consolidation
 from appleshift.coordination.fleet.health import Health
 from appleshift.coordination.fleet.provisioning import Pool
-from appleshift.coordination.outgoing.effects import Rent
-from appleshift.coordination.pace import Pace
+from appleshift.coordination.outgoing.effects import Inspect, Rent
+from appleshift.coordination.pace import Capacity, Pace
 from appleshift.coordination.parts import Term, Trust
 from appleshift.coordination.placing.placement import Shortage
 from appleshift.coordination.placing.room import stop_grace
@@ -28,6 +28,9 @@
 """Of the time, reviews of the plan may take so much: on a controller that falls
 behind, renting ahead is what waits first."""
 SUMMARY_S = 30.0
+SETTLED_S = 20.0
+BOOT_PROBES = 2
+"""Questions that a late boot leaves unanswered before it is given up."""
 
 
 class Fleet:
@@ -67,6 +70,13 @@
         self.steady_spare: dict[bool, float] = {}
         # By pool: what was required lately, as (time, capacity).
         self.required: dict[bool, deque[tuple[float, float]]] = {False: deque(), True: deque()}
+        # Each machine reports on a connection of its own. One that finds no
+        # place is paid for and never heard: three times the fleet once rented
+        # 8,677 machines for 1,830 that there could be, gave up those that it
+        # did not hear, and rented others in their stead.
+        self.most = Capacity.of(core.settings.deployment.machine_limits).machines
+        self._most_at = core.now
+        self._told_full = 0.0
         self.consolidation = Consolidation(self)
         self.health = Health(self)
 
@@ -103,6 +113,7 @@
 
     def heard(self, machine: Machine, report: Report) -> None:
         if machine.status == BOOTING or machine.addr != report.addr:
+            machine.probe = 0
             machine.status = UP
             machine.addr = report.addr
             machine.idle_since = self.core.now
@@ -174,6 +185,8 @@
                 machine.rented_at = now - row.age_s
                 machine.idle_since = now
                 machine.lease_until = now + self.core.worker_lease_s
+            # Before its first report this is where it can be asked.
+            machine.listed_addr = row.addr or machine.listed_addr
             if machine.listed_at is None:
                 machine.listed_at = now
                 machine.rented_at = min(machine.rented_at, now - row.age_s)
@@ -235,6 +248,8 @@
         there once queued ten rentals of one market that had nothing left.
         """
         market = (kind, zone, spot)
+        if not self.room():
+            return False
         asked = any(entry[:3] == market for entry in self.asked.values())
         return self.gives(*market) and not asked
 
@@ -246,9 +261,7 @@
                     self.core.delete([machine])
                 continue
             if machine.status == BOOTING:
-                boot_s = self.tables.types[machine.type].boot_s
-                if now - machine.rented_at > boot_s * self.operator.boot_patience + 5.0:
-                    self.give_up(machine, "did not come up")
+                self._check_boot(machine, now)
             elif machine.sick and machine.empty():
                 self.give_up(machine, "sick and empty")
             elif machine.notice_at is not None:
@@ -262,6 +275,21 @@
                 self._review(now)
             self._write_groups(now)
 
+    def _check_boot(self, machine: Machine, now: float) -> None:
+        """Give up a boot that is late, but not one that may be up and unheard."""
+        boot_s = self.tables.types[machine.type].boot_s
+        if now - machine.rented_at <= boot_s * self.operator.boot_patience + 5.0:
+            return
+        if machine.zone in self.health.dark:
+            return
+        if machine.listed_addr and machine.probe < BOOT_PROBES:
+            # Its reports may find no place: ask it. An answer says that it is up.
+            if not machine.probing:
+                machine.probing = True
+                self.core.effects.append(Inspect(machine.name, machine.listed_addr))
+            return
+        self.give_up(machine, "did not come up")
+
     def _market_name(self, market: tuple[int, int]) -> str:
         return f"{self.tables.type_names.names[market[0]]}@{self.tables.zones.names[market[1]]}"
 
@@ -299,7 +327,34 @@
         """At long intervals groups are chosen anew, so that dear ones drop out."""
         self.groups.clear()
 
+    def hear(self, machines: int) -> None:
+        """So many machines the nodes together can hear. One that is missing for a
+        moment, as after each takeover, changes nothing yet."""
+        now = self.core.now
+        if machines >= self.most:
+            self.most, self._most_at = machines, now
+        elif now - self._most_at > SETTLED_S:
+            self.most = machines
+
+    def room(self) -> int:
+        """How many more machines could be heard, those under way counted."""
+        under_way = sum(count for _, _, _, count in self.asked.values())
+        return max(0, self.most - len(self.tables.machines) - under_way)
+
+    def crowded(self) -> bool:
+        """Are there so many machines that their number counts for more than their price?"""
+        return self.room() * 2 < self.most
+
     def rent(self, kind: int, zone: int, spot: bool, count: int) -> None:
+        if count > self.room() and self.core.now - self._told_full >= SUMMARY_S:
+            self._told_full = self.core.now
+            log.warning(
+                "%d machines are as many as the nodes can hear: nothing beyond is rented",
+                self.most,
+            )
+        count = min(count, self.room())
+        if count <= 0:
+            return
         self.requests += 1
         # The token makes the name unique among leaders, the number within one.
         request = f"r-{self.core.token}-{self.requests}"
--- a/appleshift/coordination/fleet/health.py
+++ b/appleshift/coordination/fleet/health.py
@@ -14,6 +14,7 @@
 from appleshift.bookkeeping.tables import EXITED, UP, Job, Machine
 from appleshift.coordination.outgoing.effects import Inspect
 from appleshift.coordination.parts import Machines
+from appleshift.coordination.placing.room import zone_room
 
 log = logging.getLogger(__name__)
 
@@ -55,6 +56,8 @@
         self._started = fleet.core.now
         # Zones that are cut off, and since when.
         self.dark: dict[int, float] = {}
+        # Since when zones that were cut off are back.
+        self._back: dict[int, float] = {}
         self._deaf_since = fleet.core.now
 
     def check(self, now: float) -> None:
@@ -73,7 +76,7 @@
                 continue
             up[machine.zone] = up.get(machine.zone, 0) + 1
             known = machine.last_heard >= self._started
-            if now - max(machine.last_heard, self._started) > (probe_s if known else new_s):
+            if self._quiet_s(machine, now) > (probe_s if known else new_s):
                 silent.setdefault(machine.zone, []).append(machine)
         # Silence alone is no evidence: after a takeover workers take a while to
         # find the leader, but they answer when asked.
@@ -99,11 +102,11 @@
             for zone, since in self.dark.items()
             if zone not in up and now - since <= DARK_PATIENCE_S
         }
-        self._mark_dark(set() if ourselves else quiet_zones | unheard, now)
+        self._mark_dark(set() if ourselves else quiet_zones | unheard, now, not ourselves)
         for zone, machines in silent.items():
             probes = DARK_PROBES if zone in self.dark else len(machines)
             for machine in machines:
-                quiet = now - max(machine.last_heard, self._started)
+                quiet = self._quiet_s(machine, now)
                 # Zones fall silent one after the other even if it is ourselves.
                 sure = zone not in suspect or now - self.dark.get(zone, now) > SURE_S
                 if sure and not ourselves and self._is_lost(machine, quiet, silent_s, now):
@@ -120,6 +123,11 @@
                     machine.probing = True
                     self._core.effects.append(Inspect(machine.name, machine.addr))
 
+    def _quiet_s(self, machine: Machine, now: float) -> float:
+        """For how long a machine could have been heard and was not."""
+        since = max(machine.last_heard, self._started, self._back.get(machine.zone, 0.0))
+        return now - since
+
     def counts(self, zone: int) -> bool:
         """Is a zone's capacity there? A zone may seem dark for a moment after a
         takeover; what it holds is not rented anew for that."""
@@ -136,7 +144,7 @@
         mute = (machine.addr for machine in self._tables.machines.values() if machine.probe > 0)
         return list(islice(filter(None, mute), UNHEARD))
 
-    def _mark_dark(self, zones: set[int], now: float) -> None:
+    def _mark_dark(self, zones: set[int], now: float, heard: bool) -> None:
         for zone in zones - self.dark.keys():
             log.info("zone %s is cut off", self._tables.zones.names[zone])
             self.dark[zone] = now
@@ -144,6 +152,15 @@
             log.info("zone %s is back", self._tables.zones.names[zone])
             del self.dark[zone]
             self._core.dirty = True
+            # Most of it is heard; the rest gets its time to be, as after a
+            # takeover. Once 41 machines were deleted in the second in which a
+            # zone came back, for what they had not answered while it was dark.
+            if not heard:
+                continue
+            self._back[zone] = now
+            for machine in self._tables.machines.values():
+                if machine.zone == zone:
+                    machine.probe = 0
 
     def _is_lost(self, machine: Machine, quiet: float, silent_s: float, now: float) -> bool:
         """Is its deletion, which proves its tasks gone, better than waiting?"""
@@ -156,11 +173,41 @@
         probes = 2 if machine.last_heard >= self._started else 3
         if machine.zone in self.dark:
             # Its whole zone is as silent as it is.
-            return machine.probe > 0
+            return machine.probe > 0 and self._frees_more_than_it_costs(machine)
         if quiet > silent_s and machine.probe >= probes:
             return True
         return quiet > self._core.worker_lease_s + silent_s and machine.empty()
 
+    def _frees_more_than_it_costs(self, machine: Machine) -> bool:
+        """Replicas that may start elsewhere gain a lease's time by a deletion; those
+        that may not lose a boot's time once the zone is back.
+
+        With two zones and replicas spread over them, 91 machines were once
+        deleted in a cut of 40 s though none of theirs could start in the other.
+        """
+        movable = stuck = 0.0
+        for run in machine.runs.values():
+            if run.job.service and run.state != EXITED:
+                share = self._movable(run.job, machine.zone)
+                movable += share
+                stuck += 1.0 - share
+        return movable > stuck
+
+    def _movable(self, job: Job, zone: int) -> float:
+        """The share of a job's replicas in a zone that may start in others."""
+        if job.zone == zone:
+            return 0.0
+        rooms = zone_room(self._tables, job)
+        if rooms is None:
+            return 1.0
+        here = sum(run.machine.zone == zone for run in job.runs.values())
+        room = sum(
+            max(0, left)
+            for other, left in rooms.items()
+            if other != zone and other not in self.dark
+        )
+        return min(1.0, room / max(1, here))
+
     def probed(self, name: str, answered: bool) -> None:
         machine = self._tables.machine(name)
         if machine is not None:
--- a/appleshift/coordination/fleet/provisioning.py
+++ b/appleshift/coordination/fleet/provisioning.py
@@ -35,6 +35,7 @@
             and fleet.trust.counts(machine.zone)
             and not (machine.asked_gone or machine.sick or machine.draining or machine.cordoned)
         ]
+        self.lit = sum(fleet.trust.counts(zone) for zone in range(len(tables.zones)))
         self.steady = min(
             self.kinds,
             key=lambda index: tables.types[index].price / self._size(tables.types[index]),
@@ -64,8 +65,11 @@
             spec = job.spec
             if job.status != OPEN or (spec.gpus > 0) != self.gpus:
                 continue
-            # What waits for seats only needs no machine yet.
-            tasks = min(spec.tasks - job.done_count, caps.get(job.index, spec.tasks))
+            # What waits for seats only needs no machine yet, nor do replicas that
+            # may run nowhere but in a zone that is cut off.
+            tasks = min(
+                spec.tasks - job.done_count, caps.get(job.index, spec.tasks), self._spread_most(job)
+            )
             limits = tables.teams[job.team].limits
             if spec.gpus > 0 and limits.gpus_max > 0:
                 tasks = min(tasks, int(limits.gpus_max / spec.gpus))
@@ -96,6 +100,12 @@
 
         return in_steady(total), in_steady(fixed)
 
+    def _spread_most(self, job: Job) -> int:
+        """How many of its tasks the zones that can be heard may take."""
+        if not job.spec.spread:
+            return job.spec.tasks
+        return self.lit * ((job.spec.tasks + 1) // 2)
+
     def review(self, now: float) -> None:
         if self.steady < 0:
             return
@@ -215,10 +225,14 @@
                 fleet.rent(market.kind, market.zone, True, missing)
         steady_have = self._capacity(False)
         needed = max(fixed, required - self._capacity(True))
-        order = sorted(
-            self.kinds,
-            key=lambda index: tables.types[index].price / self._size(tables.types[index]),
-        )
+        crowded = fleet.crowded()
+
+        def worth(index: int) -> float:
+            kind = tables.types[index]
+            # Each machine takes a place: of few places, the large make more.
+            return -self._size(kind) if crowded else kind.price / self._size(kind)
+
+        order = sorted(self.kinds, key=worth)
         missing_units = needed - steady_have
         for kind in order:
             if missing_units <= 1e-6:
--- a/appleshift/coordination/leading/election.py
+++ b/appleshift/coordination/leading/election.py
@@ -64,6 +64,10 @@
         self._mark = mark
         # What siblings said of themselves: when, whether entitled, their token.
         self._heard: dict[str, tuple[float, bool, int]] = {}
+        # When a sibling said last that it relays, and what share a leader sends away.
+        self._relays: dict[str, float] = {}
+        self._shares: dict[str, tuple[float, float]] = {}
+        self.share = 0.0
         # Workers that this node, though it leads, cannot hear; with nobody heard.
         self.unheard: list[str] = []
         self._resigned = routines.flag()
@@ -130,6 +134,33 @@
         at = self._heard.get(leader, (self._leader_since, False, 0))[0]
         return now - max(at, self._leader_since) < HEARD_S
 
+    def can_relay(self) -> bool:
+        """Does this node, which does not lead, reach the one that does?"""
+        leader = self.current_leader()
+        if leader is None or leader == self.name or self.leadership.leading:
+            return False
+        at, entitled, _ = self._heard.get(leader, (float("-inf"), False, 0))
+        return entitled and self._now() - at < HEARD_S
+
+    def relays(self) -> list[str]:
+        """Nodes other than the leader that pass reports on to it, as far as is known."""
+        now = self._now()
+        leader = self.current_leader()
+        found = [
+            name for name, at in list(self._relays.items()) if now - at < HEARD_S and name != leader
+        ]
+        if self.can_relay():
+            found.append(self.name)
+        return sorted(found)
+
+    def sent_away(self) -> float:
+        """The share of the machines that the leader sends to relays."""
+        leader = self.current_leader()
+        if leader == self.name or self.leadership.leading:
+            return self.share
+        at, share = self._shares.get(leader or "", (float("-inf"), 0.0))
+        return share if self._now() - at < HEARD_S else 0.0
+
     def _resign(self) -> None:
         """Let another node lead, and do not stand against it for a while."""
         self._stand_after = self._now() + RESIGNED_S
@@ -301,7 +332,13 @@
                 status, body = client.request("GET", peers.HELLO_PATH, None, 0.5)
                 if status == 200:
                     hello = peers.decode_hello(body)
-                    self._heard[sibling] = (self._now(), hello.entitled, hello.token)
+                    now = self._now()
+                    self._heard[sibling] = (now, hello.entitled, hello.token)
+                    self._shares[sibling] = (now, hello.share)
+                    if hello.relays:
+                        self._relays[sibling] = now
+                    else:
+                        self._relays.pop(sibling, None)
                     if not hello.leading:
                         self.leadership.sibling_cleared(sibling)
                 if self.unheard and self.leadership.leading:
--- a/appleshift/coordination/pace.py
+++ b/appleshift/coordination/pace.py
@@ -30,6 +30,8 @@
 """Stack and buffers of a connection's routine; measured: half of this."""
 CONNECTIONS_SHARE = 0.5
 """Of the memory, connections may take this much."""
+MACHINES_SHARE = 0.9
+"""Of the connections; users, a few to each node, get the rest."""
 LOAD_GAP_S = 30.0
 SHORT = 0.85
 """Of its time or memory; above it, a node says that it is short."""
@@ -41,6 +43,8 @@
 
     connections: int
     """Open connections of workers and users."""
+    machines: int
+    """Machines whose reports find a place beside the users."""
     peers: int
     """Open connections of siblings."""
     calls: int
@@ -59,6 +63,7 @@
         connections = max(8, int(min(sockets * 0.5, by_memory)))
         return cls(
             connections=connections,
+            machines=max(4, int(connections * MACHINES_SHARE)),
             peers=max(8, int(sockets * 0.06)),
             calls=max(4, min(24, connections // 8)),
             clients=max(8, int(sockets * 0.3)),
--- /dev/null
+++ b/appleshift/intake/relay.py
@@ -0,0 +1,107 @@
+"""Passes workers' reports on to the leader, many in a call, and its answers back.
+
+A relay decides nothing: what a worker is told is the leader's own answer to
+this very report. So a relayed answer renews no lease that the leader did not
+renew while it was entitled, for a worker's lease counts from when it *sent* its
+report, which is before the leader answered; and however long a relay stands
+still before it sends the answer on, the worker drops what comes after 4 s, or
+with a lower token than it has seen.
+"""
+
+from __future__ import annotations
+
+import logging
+import queue
+import threading
+from collections import deque
+from typing import Any
+
+import msgspec
+
+from appleshift.protocol import peers
+from appleshift.protocol.wire import ProtocolError, encode
+from appleshift.transport.client import Caller, ClientError
+from appleshift.transport.routines import Pool, Routines
+
+log = logging.getLogger(__name__)
+
+CALLS = 4
+GATHER_S = 0.02
+"""What arrives within this shares a call."""
+BATCH_BYTES = 48 * 1024
+ANSWER_S = 3.0
+"""Workers wait 4 s for an answer."""
+
+Answer = tuple[int, bytes]
+NO_ANSWER: Answer = (503, encode({"error": "the leader does not answer"}))
+
+
+class _Waiting:
+    __slots__ = ("body", "leader", "slot")
+
+    def __init__(self, leader: str, body: bytes, slot: Any) -> None:
+        self.leader, self.body, self.slot = leader, body, slot
+
+
+class Relay:
+    """One for each node; its routines start with the first report."""
+
+    def __init__(self, siblings: dict[str, Caller], routines: Routines) -> None:
+        self._siblings = siblings
+        self._routines = routines
+        self._pool = Pool(routines, "relay", CALLS)
+        self._lock = threading.Lock()
+        self._waiting: deque[_Waiting] = deque()
+
+    def pass_on(self, leader: str, body: bytes) -> Answer:
+        """The leader's answer to a report; 503 without one in time."""
+        entry = _Waiting(leader, body, self._routines.mailbox())
+        with self._lock:
+            first = not self._waiting
+            self._waiting.append(entry)
+        if first:
+            self._pool.submit(self._send)
+        try:
+            answer: Answer = entry.slot.get(timeout=ANSWER_S + 2 * GATHER_S)
+        except queue.Empty:
+            return NO_ANSWER
+        return answer
+
+    def _take(self) -> list[_Waiting]:
+        """What goes into one call: reports for one leader, up to a size."""
+        taken: list[_Waiting] = []
+        size = 0
+        with self._lock:
+            while self._waiting:
+                entry = self._waiting[0]
+                size += len(entry.body) + 8
+                if taken and (entry.leader != taken[0].leader or size > BATCH_BYTES):
+                    break
+                taken.append(self._waiting.popleft())
+            more = bool(self._waiting)
+        if more:
+            self._pool.submit(self._send)
+        return taken
+
+    def _send(self) -> None:
+        self._routines.sleep(GATHER_S)
+        batch = self._take()
+        if not batch:
+            return
+        answers: list[Answer] = []
+        try:
+            client = self._siblings[batch[0].leader]
+            body = encode(peers.ReportBatch([msgspec.Raw(entry.body) for entry in batch]))
+            status, raw = client.request("POST", peers.REPORTS_PATH, body, ANSWER_S)
+            if status == 200:
+                told = peers.decode_answers(raw).answers
+                answers = [(entry.status, bytes(entry.body)) for entry in told]
+        except (ClientError, ProtocolError, KeyError) as error:
+            log.debug("relaying to %s: %s", batch[0].leader, error)
+        if len(answers) != len(batch):
+            answers = [NO_ANSWER] * len(batch)
+        for entry, answer in zip(batch, answers, strict=True):
+            entry.slot.put(answer)
+
+    def stop(self) -> None:
+        self._pool.stop()
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -23,6 +23,7 @@
 from appleshift.coordination.outgoing.outbound import CloudCalls, WorkerCalls
 from appleshift.coordination.pace import Capacity, Load
 from appleshift.coordination.placing.counted import Seats
+from appleshift.intake import routes
 from appleshift.protocol import users
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Settings, split_address
@@ -37,6 +38,7 @@
 
 IDLE_WAIT_S = 0.1
 BUSY_WAIT_S = 0.02
+SPREAD_GAP_S = 1.0
 
 
 class Node:
@@ -96,6 +98,7 @@
             self.workers.reaches,
             routines,
             self.store,
+            lambda: routes.audible(capacity.machines, len(self.election.relays())),
         )
         self.cloud = CloudCalls(
             self._post,
@@ -108,6 +111,7 @@
         self._load = Load(deployment.machine_limits, capacity, routines.now())
         self._listeners: list[Listener] = []
         self._connect = connect
+        self._next_spread = 0.0
         # Made when the first licence server is to be asked.
         self._licences: LicenceCalls | None = None
 
@@ -196,6 +200,7 @@
             return
         now = self.routines.now()
         core.step(now, self.routines.wall())
+        self._spread(core, now)
         self.election.unheard = core.fleet.health.unheard(now)
         if self.leadership.may_write(now):
             txn = core.journal.next_txn(now)
@@ -206,6 +211,19 @@
         for effect in core.take_effects():
             self._carry_out(core, effect)
 
+    def _spread(self, core: Core, now: float) -> None:
+        """Send some machines' reports to other nodes if they are too many for this one."""
+        if now < self._next_spread:
+            return
+        self._next_spread = now + SPREAD_GAP_S
+        places = self._capacity.machines
+        relays = len(self.election.relays()) if self.operator.spread_reports else 0
+        core.fleet.hear(routes.audible(places, relays))
+        share = routes.share(len(core.tables.machines), places, relays, self.election.share)
+        if share != self.election.share:
+            log.info("%.0f %% of the machines report to %d relays", share * 100, relays)
+            self.election.share = share
+
     def _ask_servers(self, seats: Seats, now: float) -> None:
         for ask in seats.asks(now):
             if self._licences is None:
@@ -348,6 +366,7 @@
         self._core = None
         self._term = None
         self.election.unheard = []
+        self.election.share = 0.0
         self.cloud.lead(None)
         if core is not None:
             core.abandon()
--- a/appleshift/protocol/operator.py
+++ b/appleshift/protocol/operator.py
@@ -50,6 +50,7 @@
     # Machines.
     silent_s: float = 3.0
     sick_jobs: int = 2
+    spread_reports: bool = True
     # Order among jobs.
     preempt: bool = True
     # Counted resources; see deploy/seats.textproto.
--- a/appleshift/protocol/peers.py
+++ b/appleshift/protocol/peers.py
@@ -11,6 +11,7 @@
 PLEDGE_PATH = "/peer/pledge"
 HELLO_PATH = "/peer/hello"
 REACH_PATH = "/peer/reach"
+REPORTS_PATH = "/peer/reports"
 
 
 class PledgeRequest(msgspec.Struct, frozen=True):
@@ -30,6 +31,10 @@
     token: int
     entitled: bool = False
     """It may answer for the controllers right now."""
+    share: float = 0.0
+    """Of a leader: the share of the machines whose reports go to other nodes."""
+    relays: bool = False
+    """It reaches the leader and passes reports on."""
 
 
 class ReachRequest(msgspec.Struct, frozen=True):
@@ -42,10 +47,29 @@
     reached: bool
 
 
+class ReportBatch(msgspec.Struct, frozen=True):
+    """Workers' reports, each as its worker sent it."""
+
+    reports: Annotated[list[msgspec.Raw], msgspec.Meta(max_length=2000)]
+
+
+class RelayedAnswer(msgspec.Struct, frozen=True):
+    status: int
+    body: msgspec.Raw
+
+
+class ReportAnswers(msgspec.Struct, frozen=True):
+    """The leader's answers, in the order of the reports."""
+
+    answers: list[RelayedAnswer]
+
+
 _reach = msgspec.msgpack.Decoder(ReachRequest)
 _reached = msgspec.msgpack.Decoder(Reach)
 _pledge = msgspec.msgpack.Decoder(PledgeRequest)
 _hello = msgspec.msgpack.Decoder(Hello)
+_reports = msgspec.msgpack.Decoder(ReportBatch)
+_answers = msgspec.msgpack.Decoder(ReportAnswers)
 
 
 def decode_pledge(body: bytes) -> PledgeRequest:
@@ -62,3 +86,11 @@
 
 def decode_reached(body: bytes) -> Reach:
     return decode_as(_reached, body)
+
+
+def decode_reports(body: bytes) -> ReportBatch:
+    return decode_as(_reports, body)
+
+
+def decode_answers(body: bytes) -> ReportAnswers:
+    return decode_as(_answers, body)
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -35,6 +35,7 @@
     capacity: dict[tuple[str, str, bool], int]
     write_rps: float
     kinds: list[dict[str, Any]] = field(default_factory=lambda: KINDS)
+    sockets: int = 1024
 
     def limits(self) -> dict[str, tuple[float, float]]:
         return {
@@ -67,6 +68,9 @@
                     "rps": 150.0, "write_rps": self.write_rps, "value_kb": 8.0, "txn_ops": 8,
                 },
                 "cloud": {"rps": 8.0, "list_lag_s": 2.0},
+                "machine_limits": {
+                    "core_share": 1.0, "memory_mb": 256.0, "max_sockets": self.sockets,
+                },
             },
         }  # fmt: skip
         return msgspec.convert(raw, Settings)
@@ -91,3 +95,12 @@
     capacity={pool: 8 * count for pool, count in CAPACITY.items()},
     write_rps=15.0,
 )
+
+# One node hears nine machines.
+CROWDED = Site(
+    nodes=["n0", "n1", "n2", "n3"],
+    teams=SMALL.teams,
+    capacity={pool: 2 * count for pool, count in CAPACITY.items()},
+    write_rps=30.0,
+    sockets=20,
+)
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,150 @@
+"""Reports through every node: where they go, and that nothing is freed or lost by it."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import msgspec
+import pytest
+
+from appleshift.intake import routes
+from appleshift.transport.server import Request
+from tests.chaos import heal, unleash
+from tests.sites import CROWDED
+from tests.world import World
+
+
+def test_machines_are_shared_evenly_and_few_move_when_a_node_goes() -> None:
+    names = [f"i-{number:06d}" for number in range(6000)]
+    before = {name: routes.place(name, 0.75, ["n1", "n2", "n3"]) for name in names}
+    counts = [sum(node == each for node in before.values()) for each in (None, "n1", "n2", "n3")]
+    assert all(1300 < count < 1700 for count in counts)
+    after = {name: routes.place(name, 0.75, ["n1", "n3"]) for name in names}
+    moved = {name for name in names if before[name] != after[name]}
+    assert moved == {name for name in names if before[name] == "n2"}
+
+
+def test_the_share_sent_away_follows_the_fleet_without_swinging() -> None:
+    assert routes.share(600, 849, 4, 0.0) == 0.0
+    shares = [routes.share(machines, 849, 4, 0.0) for machines in (850, 1200, 1830, 9000)]
+    assert shares == sorted(shares)
+    assert 0.5 < shares[2] < 0.7
+    assert shares[3] <= 13 / 16, "all nodes full alike"
+    held = routes.share(1830, 849, 4, 0.0)
+    assert routes.share(1790, 849, 4, held) == held
+    assert routes.share(5000, 849, 0, held) == 0.0
+    assert (routes.audible(849, 4), routes.audible(849, 1), routes.audible(849, 0)) == (
+        3396,
+        849,
+        849,
+    )
+
+
+def crowd(seed: int, jobs: int = 40) -> World:
+    world = World(seed, site=CROWDED)
+    for _ in range(jobs):
+        world.sim.after(world.rng.uniform(0.0, 50.0), world.submit)
+    return world
+
+
+def relaying(world: World) -> set[str]:
+    """Nodes other than the leader that take some worker's reports."""
+    leaders = {host.name for host in world.leaders()}
+    return {world.site.nodes[number] for number in world.attached.values()} - leaders
+
+
+def settled(world: World) -> list[str]:
+    return [
+        job_id
+        for job_id, job in world.rules.jobs.items()
+        if job.spec["shape"] == "array" and job.accepted and job.told is None
+    ]
+
+
+def test_a_fleet_larger_than_one_node_is_heard_through_all() -> None:
+    world = crowd(1)
+    world.lossy = 0.0
+    try:
+        world.run(60.0)
+        assert len(world.workers) > 10
+        assert len(relaying(world)) >= 2
+        leader = world.leaders()[0]
+        by_node = [
+            sum(world.site.nodes[number] == name for address, number in world.attached.items()
+                if address in world.workers)
+            for name in world.site.nodes
+        ]  # fmt: skip
+        assert by_node[world.site.nodes.index(leader.name)] <= 9
+        assert all(worker.session == 1 for worker in world.workers.values())
+        world.run(140.0)
+        assert settled(world) == []
+    finally:
+        world.close()
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_rules_hold_through_random_troubles_while_nodes_relay(seed: int) -> None:
+    world = crowd(seed)
+    try:
+        unleash(world, 80.0, 8.0)
+        world.sim.after(90.0, lambda: heal(world))
+        world.run(220.0)
+        assert world.rules.starts > 20
+        assert settled(world) == []
+    finally:
+        world.close()
+
+
+@pytest.mark.parametrize("trouble", ["falls", "freezes", "leader falls", "siblings refuse"])
+def test_rules_hold_when_what_relays_is_in_trouble(trouble: str) -> None:
+    world = crowd(20)
+    try:
+
+        def strike() -> None:
+            some = sorted(relaying(world))
+            leader = world.leaders()[0].name if world.leaders() else ""
+            for name in some[:1]:
+                if trouble == "falls":
+                    world.hosts[name].crash(8.0)
+                elif trouble == "freezes":
+                    # With the leader's answers in hand: they leave 20 s later.
+                    world.armed[name] = ("/peer/reports", 20.0)
+                elif trouble == "leader falls":
+                    world.hosts[leader].crash(8.0)
+                else:
+                    pair = {(name, leader), (leader, name)}
+                    world.blocked |= pair
+                    world.sim.after(15.0, partial(world.blocked.difference_update, pair))
+
+        for at in (30.0, 60.0, 90.0):
+            world.sim.after(at, strike)
+        world.run(220.0)
+        assert settled(world) == []
+    finally:
+        world.close()
+
+
+def test_a_late_report_by_another_way_changes_nothing() -> None:
+    """One that was held back comes to another node after newer ones were taken."""
+    world = crowd(3)
+    world.lossy = 0.0
+    try:
+        world.run(50.0)
+        address = sorted(world.workers)[0]
+        old = msgspec.msgpack.encode(world.workers[address].report())
+        world.run(60.0)
+        leader = world.leaders()[0]
+        assert leader.node is not None
+        assert leader.node._core is not None
+        machine = leader.node._core.tables.machine(world.workers[address].rig.name)
+        assert machine is not None
+        before = (machine.session, machine.seq)
+        told: list[int] = []
+        for host in world.hosts.values():
+            request = Request("POST", "/agent/beat", old)
+            world.ask(host, "public", request, lambda status, _: told.append(status))
+        world.run(63.0)
+        assert (machine.session, machine.seq) >= before
+        assert len(told) == len(world.hosts)
+    finally:
+        world.close()
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -66,6 +66,7 @@
     load = SimpleNamespace(now=0.0)
     node: Any = SimpleNamespace(name="n0", current_leader=lambda: "n0", leading=True)
     node.may_answer = lambda now: True
+    node.sent_away = lambda: 0.0
 
     def core(kind: str, what: Any, slot: Any) -> None:
         slot.put((200, {}, 0))
