--- a/appleshift/coordination/fleet/fleet.py
+++ b/appleshift/coordination/fleet/fleet.py
@@ -346,6 +346,7 @@
         return self.room() * 2 < self.most
 
     def rent(self, kind: int, zone: int, spot: bool, count: int) -> None:
+        count = min(count, cloud.MAX_RENT)
         if count > self.room() and self.core.now - self._told_full >= SUMMARY_S:
             self._told_full = self.core.now
             log.warning(
@@ -358,7 +359,6 @@
         self.requests += 1
         # The token makes the name unique among leaders, the number within one.
         request = f"r-{self.core.token}-{self.requests}"
-        count = min(count, cloud.MAX_RENT)
         self.asked[request] = (kind, zone, spot, count)
         names = self.tables.type_names.names
         self.core.effects.append(
--- a/appleshift/coordination/leading/election.py
+++ b/appleshift/coordination/leading/election.py
@@ -25,6 +25,8 @@
 """What a sibling said of itself holds for this long: a few of its rounds, and
 longer than a crashed leader's key outlives it."""
 CHECK_S = 0.4
+KEPT_S = 10.0
+"""A share outlives the leader that named it for so long."""
 RESIGNED_S = 10.0
 """Who resigned leaves the others this long to take over."""
 
@@ -67,6 +69,7 @@
         # When a sibling said last that it relays, and what share a leader sends away.
         self._relays: dict[str, float] = {}
         self._shares: dict[str, tuple[float, float]] = {}
+        self._last_share = (float("-inf"), 0.0)
         self.share = 0.0
         # Workers that this node, though it leads, cannot hear; with nobody heard.
         self.unheard: list[str] = []
@@ -139,8 +142,12 @@
         leader = self.current_leader()
         if leader is None or leader == self.name or self.leadership.leading:
             return False
+        now = self._now()
+        if leader == self.leader and now - self._leader_since < HEARD_S:
+            # Just elected, by the key: it is asked before it has said so itself.
+            return True
         at, entitled, _ = self._heard.get(leader, (float("-inf"), False, 0))
-        return entitled and self._now() - at < HEARD_S
+        return entitled and now - at < HEARD_S
 
     def relays(self) -> list[str]:
         """Nodes other than the leader that pass reports on to it, as far as is known."""
@@ -158,8 +165,17 @@
         leader = self.current_leader()
         if leader == self.name or self.leadership.leading:
             return self.share
+        now = self._now()
         at, share = self._shares.get(leader or "", (float("-inf"), 0.0))
-        return share if self._now() - at < HEARD_S else 0.0
+        if now - at < HEARD_S and leader in self._heard and self._heard[leader][1]:
+            return share
+        return self.last_share()
+
+    def last_share(self) -> float:
+        """What a leader sent away a moment ago. A takeover does not make the fleet
+        smaller: if all of it turned to the new leader, most would find no place."""
+        at, share = self._last_share
+        return share if self._now() - at < KEPT_S else 0.0
 
     def _resign(self) -> None:
         """Let another node lead, and do not stand against it for a while."""
@@ -335,6 +351,8 @@
                     now = self._now()
                     self._heard[sibling] = (now, hello.entitled, hello.token)
                     self._shares[sibling] = (now, hello.share)
+                    if hello.entitled:
+                        self._last_share = (now, hello.share)
                     if hello.relays:
                         self._relays[sibling] = now
                     else:
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -39,6 +39,7 @@
 IDLE_WAIT_S = 0.1
 BUSY_WAIT_S = 0.02
 SPREAD_GAP_S = 1.0
+RELAYS_S = 3.0
 
 
 class Node:
@@ -111,7 +112,7 @@
         self._load = Load(deployment.machine_limits, capacity, routines.now())
         self._listeners: list[Listener] = []
         self._connect = connect
-        self._next_spread = 0.0
+        self._next_spread = self._relayed_at = 0.0
         # Made when the first licence server is to be asked.
         self._licences: LicenceCalls | None = None
 
@@ -218,6 +219,11 @@
         self._next_spread = now + SPREAD_GAP_S
         places = self._capacity.machines
         relays = len(self.election.relays()) if self.operator.spread_reports else 0
+        if relays:
+            self._relayed_at = now
+        elif self.operator.spread_reports and now - self._relayed_at < RELAYS_S:
+            # After a takeover nodes take a moment to say that they reach this one.
+            return
         core.fleet.hear(routes.audible(places, relays))
         share = routes.share(len(core.tables.machines), places, relays, self.election.share)
         if share != self.election.share:
@@ -344,6 +350,8 @@
             self._counted(replay, journal, term),
         )
         self._term = term
+        self.election.share = self.election.last_share()
+        self._next_spread, self._relayed_at = 0.0, now
         self.cloud.lead(term)
         log.info(
             "leading with token %d: %d jobs, %d machines, recovered in %.0f ms",
