--- a/appleshift/coordination/fleet/health.py
+++ b/appleshift/coordination/fleet/health.py
@@ -75,6 +75,9 @@
             if machine.status != UP or machine.asked_gone:
                 continue
             up[machine.zone] = up.get(machine.zone, 0) + 1
+            if now - machine.last_heard <= new_s:
+                # Nearly all of them, several times a second.
+                continue
             known = machine.last_heard >= self._started
             if self._quiet_s(machine, now) > (probe_s if known else new_s):
                 silent.setdefault(machine.zone, []).append(machine)
--- a/appleshift/coordination/placing/placement.py
+++ b/appleshift/coordination/placing/placement.py
@@ -71,12 +71,15 @@
         self.pools: dict[tuple[int, int, bool], list[Machine]] = {}
         for machine in tables.machines.values():
             if (
-                machine.usable()
-                and machine.last_heard >= heard_after
+                machine.last_heard >= heard_after
                 and machine.failed_until <= now
+                and machine.usable()
             ):
                 key = (machine.type, machine.zone, machine.spot)
-                self.pools.setdefault(key, []).append(machine)
+                pool = self.pools.get(key)
+                if pool is None:
+                    pool = self.pools[key] = []
+                pool.append(machine)
         self.result = Pass()
         self._no_room = Failures()
         # Machines whose room is kept for a gang that gathers, for this pass.
