--- a/appleshift/coordination/desk.py
+++ b/appleshift/coordination/desk.py
@@ -76,6 +76,9 @@
         self._relay = Relay(siblings, routines)
         self._pages = RateBudget(routines, PAGES_RPS)
 
+    def stop(self) -> None:
+        self._relay.stop()
+
     # -- listeners ------------------------------------------------------------
 
     def public(self, request: Request) -> Response:
--- a/appleshift/coordination/leading/election.py
+++ b/appleshift/coordination/leading/election.py
@@ -68,7 +68,6 @@
         self._heard: dict[str, tuple[float, bool, int]] = {}
         # When a sibling said last that it relays, and what share a leader sends away.
         self._relays: dict[str, float] = {}
-        self._shares: dict[str, tuple[float, float]] = {}
         self._last_share = (float("-inf"), 0.0)
         self.share = 0.0
         # Workers that this node, though it leads, cannot hear; with nobody heard.
@@ -165,10 +164,6 @@
         leader = self.current_leader()
         if leader == self.name or self.leadership.leading:
             return self.share
-        now = self._now()
-        at, share = self._shares.get(leader or "", (float("-inf"), 0.0))
-        if now - at < HEARD_S and leader in self._heard and self._heard[leader][1]:
-            return share
         return self.last_share()
 
     def last_share(self) -> float:
@@ -350,7 +345,6 @@
                     hello = peers.decode_hello(body)
                     now = self._now()
                     self._heard[sibling] = (now, hello.entitled, hello.token)
-                    self._shares[sibling] = (now, hello.share)
                     if hello.entitled:
                         self._last_share = (now, hello.share)
                     if hello.relays:
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -152,6 +152,7 @@
         self.committer.stop()
         self.cloud.stop()
         self.workers.stop()
+        self.desk.stop()
         if self._licences is not None:
             self._licences.stop()
 
