--- a/appleshift/coordination/pace.py
+++ b/appleshift/coordination/pace.py
@@ -10,6 +10,7 @@
 
 import logging
 import resource
+import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -134,9 +135,9 @@
         limits, most = self._limits, self._capacity
         log.info(
             "load: at work %.0f %% of the time, %.0f of %.0f MB, %d of %d connections,"
-            " at most %d of %d requests at once",
+            " at most %d of %d requests at once, %d threads",
             *(busy * 100, memory_mb, limits.memory_mb, connections, most.connections),
-            *(self._most_queued, most.queued),
+            *(self._most_queued, most.queued, threading.active_count()),
         )
         if busy > SHORT or self._most_queued > most.queued:
             log.warning("short of processor: answers and placement come late")
--- a/appleshift/coordination/requests.py
+++ b/appleshift/coordination/requests.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -18,6 +19,8 @@
 from appleshift.protocol import users
 from appleshift.protocol.users import Submission
 
+log = logging.getLogger(__name__)
+
 MAX_LAG_S = 2.0
 """Users wait 5 s for an answer: nothing is accepted that is durable much later."""
 FINAL_NAMES = {FINISHED: users.DONE, CANCELLED: users.CANCELLED}
@@ -47,6 +50,7 @@
     def __init__(self, core: Answering) -> None:
         self._core = core
         self._tables = core.tables
+        self._taken = False
 
     def _final(self, job_id: str, slot: Any, body: Callable[[str, str], dict[str, Any]]) -> bool:
         """Answer from what is over, or say which share decides for the job."""
@@ -102,6 +106,9 @@
         def accepted() -> None:
             job.accepted = True
             core.dirty = True
+            if not self._taken:
+                self._taken = True
+                log.info("first submission of this term is durable")
 
         written = [record]
         if core.sharing is not None:
