--- a/appleshift/cli.py
+++ b/appleshift/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import errno
 import logging
 import os
 import signal
@@ -25,6 +26,8 @@
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 USAGE_ERROR = 2
+LISTEN_GAP_S = 0.1
+SAY_AGAIN_S = 30.0
 SEATS_PATIENCE_S = 30.0
 """Nodes answer 503 while nobody leads, and for pages that are read too fast."""
 
@@ -91,18 +94,41 @@
         logging.warning("LOG_LEVEL=%s is not one of %s: using info", level, ", ".join(LEVELS))
 
 
+def _listen(node: Node, ended: threading.Event) -> bool:
+    """Take the node's addresses; False if told to end before. OSError if it never can.
+
+    An address in use is waited for. Started again within a moment, a process may find
+    the one before it not gone yet; to end for that would be one more end, and if it is
+    another program, whoever looks finds this line.
+    """
+    said_at = float("-inf")
+    while True:
+        try:
+            node.listen()
+            return True
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            if time.monotonic() - said_at > SAY_AGAIN_S:
+                logging.warning("waiting for an address that is in use: %s", error)
+                said_at = time.monotonic()
+        if ended.wait(LISTEN_GAP_S):
+            return False
+
+
 def _run(config: Path, operator: list[Path] | None) -> int:
     settings = load_settings(config)
     node_settings = load_operator_settings(operator, settings)
+    ended = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: ended.set())
+    node = Node(settings, node_settings)
     try:
-        node = Node(settings, node_settings)
-        node.listen()
+        if not _listen(node, ended):
+            return 0
     except OSError as error:
         print(f"appleshift: cannot listen: {error}", file=sys.stderr)
         return 1
-    ended = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: ended.set())
     node.start()
     ended.wait()
     node.stop()
--- a/appleshift/coordination/desk.py
+++ b/appleshift/coordination/desk.py
@@ -538,13 +538,5 @@
         except ProtocolError as error:
             return respond(400, users.error_body(error.reason))
         holding = self._holdings.get(request.share)
-        if holding is None:
-            return respond(409, {"given": False})
-        if request.for_s > 0 and holding.election.state_answers():
-            # Only the asker is refused: its lease runs out, and a node that can
-            # write is to lead. A promise would keep everybody from it.
-            return respond(409, {"given": False})
-        given = holding.leadership.give_pledge(
-            request.leader, request.token, request.seq, request.for_s, self._routines.now()
-        )
+        given = holding is not None and holding.election.pledge(request)
         return respond(200 if given else 409, {"given": given})
--- a/appleshift/coordination/leading/election.py
+++ b/appleshift/coordination/leading/election.py
@@ -67,10 +67,13 @@
         share: int = 0,
         guards: Callable[[], tuple[tuple[str, int], ...] | None] = tuple,
         hold_back: Callable[[], float] = float,
+        process: str = "",
     ) -> None:
         """``guards``: what else must hold for an election, None if it cannot;
-        ``hold_back``: for how long others go first when the key is free."""
+        ``hold_back``: for how long others go first when the key is free; ``process``:
+        tells this process from others of the same node."""
         self.name = name
+        self.process = process
         self.share = share
         self.key = holder_key(share)
         self._guards = guards
@@ -207,7 +210,22 @@
         self._resigned.set()
         self._deposed.set()
 
-    def state_answers(self) -> bool:
+    def pledge(self, request: peers.PledgeRequest) -> bool:
+        """A leader asks for a promise not to stand; False: it does not get one."""
+        if request.for_s > 0 and self._state_answers():
+            # Only the asker is refused: its lease runs out, and a node that can
+            # write is to lead. A promise would keep everybody from it.
+            return False
+        return self.leadership.give_pledge(
+            request.leader,
+            request.token,
+            request.seq,
+            request.for_s,
+            self._now(),
+            request.process,
+        )
+
+    def _state_answers(self) -> bool:
         """Does the state service answer this node right now?"""
         try:
             self.store.get(self.key, CHECK_S)
@@ -378,6 +396,12 @@
 
     # -- one routine for each sibling ------------------------------------------------
 
+    def restarted(self, sibling: str, ended: str) -> None:
+        """A sibling's process is another one: what the one before said of itself is over."""
+        self.leadership.process_ended(ended)
+        self._heard.pop(sibling, None)
+        self._relays.pop(sibling, None)
+
     def told(self, sibling: str, hello: peers.Hello, held: peers.Held | None) -> None:
         """A sibling says what it holds, of this share (None: it does not)."""
         now = self._now()
@@ -433,7 +457,7 @@
 
     def _ask(self, client: Caller, seq: int, for_s: float) -> bool:
         token = self.leadership.token
-        request = peers.PledgeRequest(self.name, token, seq, for_s, self.share)
+        request = peers.PledgeRequest(self.name, token, seq, for_s, self.share, self.process)
         try:
             status, _ = client.request("POST", peers.PLEDGE_PATH, encode(request), 1.0)
         except ClientError as error:
--- a/appleshift/coordination/leading/leadership.py
+++ b/appleshift/coordination/leading/leadership.py
@@ -10,20 +10,29 @@
 times, whatever the state service does. One missing promise is as good as none.
 A sibling that restarts has forgotten its promise and waits it out, unless all
 its siblings tell it that none of them leads.
+
+A promise is given to a process, not to a node. Once a later process of that node
+has answered, the one that asked has ended: its port is taken before anything else
+is done. What it was promised binds nobody any more, and a request of its that was
+held back in the network is refused.
 """
 
 from __future__ import annotations
 
 import threading
+from collections import deque
 from dataclasses import dataclass
 
 DRIFT = 1.002
 MARGIN_S = 0.05
+ENDED_KEPT = 64
+"""Requests of processes that ended before so many others are too old to arrive."""
 
 
 @dataclass(slots=True)
 class _Pledge:
     leader: str
+    process: str
     token: int
     seq: int
     until: float
@@ -40,6 +49,7 @@
         self._cleared_at = now + pledge_s * DRIFT + MARGIN_S if siblings else now
         self._cleared_by: set[str] = set()
         self._given: _Pledge | None = None
+        self._ended: deque[str] = deque(maxlen=ENDED_KEPT)
         self._standing = False
         self._unsettled = False
         self._lease_until = 0.0
@@ -121,11 +131,25 @@
             self._granted.clear()
             self._pledge_until = 0.0
 
-    def give_pledge(self, leader: str, token: int, seq: int, for_s: float, now: float) -> bool:
+    def process_ended(self, process: str) -> None:
+        """A later process of the same node has answered: nothing binds us to this one."""
+        if not process:
+            # Of an older version, which does not say.
+            return
+        with self._lock:
+            self._ended.append(process)
+            if self._given is not None and self._given.process == process:
+                self._given.until = 0.0
+
+    def give_pledge(
+        self, leader: str, token: int, seq: int, for_s: float, now: float, process: str = ""
+    ) -> bool:
         """Promise not to stand for a while; False if that cannot be promised."""
         with self._lock:
             if self.leading or self._standing or self._unsettled or token < self.seen_token:
                 return False
+            if process in self._ended:
+                return False
             given = self._given
             if given is not None and (token, seq) <= (given.token, given.seq):
                 # Delivered late: it must not undo a newer request.
@@ -136,5 +160,5 @@
             # restart would not wait out.
             until = now + min(for_s, self._pledge_s) * DRIFT if for_s > 0 else 0.0
             self.seen_token = token
-            self._given = _Pledge(leader, token, seq, until)
+            self._given = _Pledge(leader, process, token, seq, until)
             return True
--- a/appleshift/coordination/leading/neighbours.py
+++ b/appleshift/coordination/leading/neighbours.py
@@ -38,6 +38,7 @@
         """What each sibling said last, and when."""
         self.since: dict[str, float] = {}
         """Since when it has said something without a gap."""
+        self._processes: dict[str, str] = {}
         self.map_version = 0
         """The newest map of shares that a sibling goes by; 0: none does."""
 
@@ -70,6 +71,14 @@
         self.said[sibling] = (now, hello)
         self.since.setdefault(sibling, now)
         self.map_version = max(self.map_version, hello.map_version)
+        before = self._processes.get(sibling, hello.process)
+        self._processes[sibling] = hello.process
+        if before != hello.process:
+            # It may have ended and come back between two of our questions.
+            log.info("%s was started anew", sibling)
+            self.since[sibling] = now
+            for election in elections:
+                election.restarted(sibling, before)
         held = {each.share: each for each in hello.shares}
         if hello.leading:
             held[0] = peers.Held(0, hello.token, hello.entitled)
--- a/appleshift/coordination/pace.py
+++ b/appleshift/coordination/pace.py
@@ -36,6 +36,7 @@
 """Of the sockets; siblings and connections to workers have the rest."""
 SHARED_SOCKETS = 0.7
 MOST_CONNECTIONS = 1600
+MOST_PEERS = 200
 """Each has a routine of its own, and a process may have 2,000 threads."""
 MACHINES_SHARE = 0.9
 """Of the connections; users, a few to each node, get the rest."""
@@ -74,7 +75,7 @@
         return cls(
             connections=connections,
             machines=max(4, int(connections * MACHINES_SHARE)),
-            peers=max(8, int(sockets * 0.06)),
+            peers=max(8, min(MOST_PEERS, int(sockets * 0.06))),
             calls=max(4, min(24, connections // 8)),
             clients=max(8, int(sockets * (0.15 if shared else 0.3))),
             queued=max(64, int(QUEUE_S * EVENTS_A_CORE_S * min(1.0, limits.core_share))),
--- a/appleshift/coordination/placing/aims.py
+++ b/appleshift/coordination/placing/aims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from appleshift.bookkeeping.tables import Job
 from appleshift.protocol.settings import Objective
@@ -17,10 +18,25 @@
 """When a gang begins to gather if nobody said how long it may wait."""
 
 
+class Due(NamedTuple):
+    """One aim of one job."""
+
+    started: bool
+    """It is about the start of the job's work, else about its end."""
+    label: str
+    at: float
+    """Wall time at which it is missed."""
+    loosest: bool
+    """Of its kind."""
+
+
 class Aims:
     """Looked up by class, since that is how objectives are given."""
 
     def __init__(self, objectives: Sequence[Objective] = ()) -> None:
+        # Teams, by their index, of whose work too little was served lately: among
+        # jobs of one priority theirs go first (``coordination/serving``).
+        self.behind: set[int] = set()
         self._waits: dict[str, list[float]] = {}
         self._ends: dict[str, list[float]] = {}
         self._times: dict[str, list[float]] = {}
@@ -64,6 +80,32 @@
             return age >= GATHER_S
         return GATHER_SHARE * within <= age < within or age >= 2 * within
 
+    def due(self, job: Job, start_s: float) -> list[Due]:
+        """All that is expected of a job; ``start_s``: how soon it is to start if nobody
+        said so for its class."""
+        name, submitted, deadline = job.spec.job_class, job.submitted, job.spec.deadline_s
+        waits = self._waits.get(name) or [start_s]
+        found = [
+            Due(True, f"started {within:g} s", submitted + within, within == max(waits))
+            for within in waits
+        ]
+        ends = [] if job.service else self._ends.get(name, [])
+        found += [
+            Due(False, f"done {within:g} s", submitted + within, within == max(ends))
+            for within in ends
+        ]
+        times = [] if deadline is None or job.service else self._times.get(name) or [1.0]
+        found += [
+            Due(
+                False,
+                f"deadline {factor:g}x",
+                submitted + (deadline or 0.0) * factor,
+                factor == max(times),
+            )
+            for factor in times
+        ]
+        return found
+
     def missed(self, job: Job, now: float, end: float) -> int:
         """How many of its aims a job has missed, or will if its work ends then.
 
--- a/appleshift/coordination/placing/placement.py
+++ b/appleshift/coordination/placing/placement.py
@@ -105,22 +105,26 @@
         )
         return sorted(jobs, key=self._urgency)
 
-    def _urgency(self, job: Job) -> tuple[int, bool, int, float, float]:
+    def _urgency(self, job: Job) -> tuple[int, bool, bool, int, float, float]:
         """Within a priority: what can still be in time, and of that the least work.
 
         When there is more work than room, somebody is late whatever the order;
-        the least work first keeps the number of late jobs down.
+        the least work first keeps the number of late jobs down. A team whose jobs
+        are the largest would be the one that is late each time: once far too little
+        of its work was served, what can still be in time of it goes first.
         """
         spec = job.spec
         borrowed = spec.gpus > 0 and not self.within_guarantee(job)
         if job.seats and self.seats is not None:
             borrowed = borrowed or self.seats.borrowed(job)
         if job.service:
-            return (job.rank, borrowed, 0, 0.0, job.submitted)
+            return (job.rank, borrowed, job.team not in self.aims.behind, 0, 0.0, job.submitted)
         work = len(job.pending) * self.tables.expected_s(job) * max(spec.cpus, spec.gpus)
         if job.gang and self._gathers(job):
             work = 0.0
-        return (job.rank, borrowed, self.late(job), work, job.submitted)
+        late = self.late(job)
+        usual = late > 0 or job.team not in self.aims.behind
+        return (job.rank, borrowed, usual, late, work, job.submitted)
 
     def _gathers(self, job: Job) -> bool:
         """Is it this gang's turn to keep the machines that fall free?"""
--- /dev/null
+++ b/appleshift/coordination/serving/served.py
@@ -0,0 +1,163 @@
+"""What part of its jobs each class and each team had served, by the service's own counts.
+
+Operators give a day up if one class of jobs, or one team, is served less than half,
+however well the others fare. Placement cannot see that from the jobs that wait: the
+least work first keeps the number of late jobs down, and a team whose arrays are larger
+than those of all others waits for as long as the others have work. So what became of
+the jobs of the last minutes is counted here, told in the log when a part is low, and
+teams that are far behind go first among jobs of the same priority.
+
+For its class, a job counts for each aim on its own; for its team it was served if it
+met the loosest aim of each kind.
+
+Jobs are looked at from time to time, not followed: what starts and ends between two
+looks is dated by the second. Counts are of one term; a new leader begins anew.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+
+from appleshift.bookkeeping.tables import CANCELLED, FINISHED, Job, Tables
+from appleshift.coordination.placing.aims import Aims, Due
+from appleshift.coordination.serving.counts import Parts
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 1.0
+SAY_S = 30.0
+LOW = 0.75
+"""A part below this is said."""
+BEHIND = 0.6
+AHEAD = 0.7
+"""A team is behind below the first, until it is above the second, and only while
+another team fares better by the difference and more: where all have too little,
+nobody is put first."""
+FEW = 6
+"""Of so few jobs a part says nothing."""
+START_S = 60.0
+"""Within this a job is to start if nobody said how soon."""
+
+
+@dataclass(slots=True)
+class _Seen:
+    """A job that is not over, with the aims that are not decided yet."""
+
+    job: Job
+    open: list[Due]
+    missed: bool = False
+    judged: bool = False
+    started: bool = False
+
+
+class Served:
+    """Of one term of a share; the core's routine asks and writes it."""
+
+    def __init__(self, tables: Tables, aims: Aims, now: float, wall: float) -> None:
+        self._tables = tables
+        self._aims = aims
+        self._next_look = now
+        self._next_say = now + SAY_S
+        self._seen: dict[int, _Seen] = {}
+        self._parts = Parts(now)
+        self._began = wall
+
+    # -- looking -----------------------------------------------------------------
+
+    def step(self, now: float, wall: float) -> None:
+        if now < self._next_look:
+            return
+        self._next_look = now + LOOK_S
+        self._parts.turn(now)
+        jobs = self._tables.jobs
+        for index, job in jobs.items():
+            seen = self._seen.get(index)
+            if seen is None:
+                if not job.accepted or job.key != job.spec.id:
+                    # A portion is judged with its whole, where that is.
+                    continue
+                seen = self._seen[index] = self._take_in(job)
+            self._look(seen, now, wall)
+        for index in [index for index in self._seen if index not in jobs]:
+            self._over(self._seen.pop(index), wall)
+        self._compare()
+        if now >= self._next_say:
+            self._next_say = now + SAY_S
+            self._say()
+
+    def _take_in(self, job: Job) -> _Seen:
+        seen = _Seen(job, self._aims.due(job, START_S))
+        if job.submitted < self._began and job.attempt > 0:
+            # It started in an earlier term, and nobody here knows when.
+            seen.started = True
+            seen.open = [due for due in seen.open if not due.started]
+        return seen
+
+    def _look(self, seen: _Seen, now: float, wall: float) -> None:
+        job = seen.job
+        if not seen.started and job.attempt > 0:
+            since = [run.running_since for run in job.runs.values() if run.running_since]
+            if since or job.done_count:
+                seen.started = True
+                self._came(seen, wall - now + min(since, default=now), started=True)
+        if job.status == FINISHED:
+            self._came(seen, wall, started=False)
+        for due in [due for due in seen.open if due.at < wall]:
+            self._decide(seen, due, False)
+        if not seen.open:
+            self._judge(seen)
+
+    def _over(self, seen: _Seen, wall: float) -> None:
+        if seen.job.status == CANCELLED:
+            # Its user wants it no more: what was open is not judged.
+            if not seen.job.service or not seen.started:
+                return
+            seen.open.clear()
+        self._came(seen, wall, started=True)
+        self._came(seen, wall, started=False)
+        self._judge(seen)
+
+    def _came(self, seen: _Seen, at: float, started: bool) -> None:
+        """It started, or ended, at a time: all aims about that are decided."""
+        for due in [due for due in seen.open if due.started == started]:
+            self._decide(seen, due, at <= due.at)
+
+    def _decide(self, seen: _Seen, due: Due, well: bool) -> None:
+        seen.open.remove(due)
+        seen.missed = seen.missed or (due.loosest and not well)
+        self._parts.add(("class", seen.job.spec.job_class, due.label), well)
+
+    def _judge(self, seen: _Seen) -> None:
+        if not seen.judged:
+            seen.judged = True
+            self._parts.add(("team", seen.job.spec.team), not seen.missed)
+
+    # -- what follows -----------------------------------------------------------------
+
+    def parts(self) -> dict[tuple[str, ...], tuple[float, int]]:
+        """By ("class", name, aim) and ("team", name): the part served, and of how many."""
+        return {key: (part, total) for key, part, total in self._parts.all() if total >= FEW}
+
+    def _compare(self) -> None:
+        parts = {key[1]: part for key, (part, _) in self.parts().items() if key[0] == "team"}
+        best = max(parts.values(), default=0.0)
+        behind = self._aims.behind
+        for number, team in enumerate(self._tables.teams):
+            name = team.limits.name
+            part = parts.get(name, 1.0)
+            if number in behind and (part > AHEAD or part > best - (AHEAD - BEHIND) / 2):
+                behind.discard(number)
+                log.info("team %s has %.2f of its jobs served: it goes first no more", name, part)
+            elif number not in behind and part < min(BEHIND, best - (AHEAD - BEHIND)):
+                behind.add(number)
+                log.warning("team %s has %.2f of its jobs served: it goes first", name, part)
+
+    def _say(self) -> None:
+        low = [
+            f"{' '.join(key)} {part:.2f} of {total}"
+            for key, (part, total) in self.parts().items()
+            if part < LOW
+        ]
+        if low:
+            log.warning("served below %.2f in the last minutes: %s", LOW, ", ".join(low))
--- a/appleshift/holding.py
+++ b/appleshift/holding.py
@@ -28,6 +28,7 @@
 from appleshift.coordination.outgoing.outbound import CloudCalls, WorkerCalls
 from appleshift.coordination.parts import Sharing
 from appleshift.coordination.placing.counted import Seats
+from appleshift.coordination.serving import Served
 from appleshift.protocol import users
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Settings
@@ -107,8 +108,10 @@
             share=share,
             guards=guards,
             hold_back=hold_back,
+            process=house.mark,
         )
         self.core: Core | None = None
+        self.served: Served | None = None
         self.term: Term | None = None
         self.committer = Committer(
             house.store,
@@ -202,6 +205,8 @@
             return
         now = routines.now()
         core.step(now, routines.wall())
+        if self.served is not None:
+            self.served.step(now, routines.wall())
         self.election.unheard = core.fleet.health.unheard(now)
         if self.leadership.may_write(now):
             txn = core.journal.next_txn(now)
@@ -315,6 +320,7 @@
             self._counted(replay, journal, term),
             sharing,
         )
+        self.served = Served(self.core.tables, self.core.aims, now, house.routines.wall())
         self.term = term
         if not self.share:
             self.election.share_sent = self.election.last_share()
@@ -342,7 +348,7 @@
 
     def end(self) -> None:
         core = self.core
-        self.core = None
+        self.core = self.served = None
         self.term = None
         self._drain_since = None
         self.election.unheard = []
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -131,12 +131,17 @@
     # -- life -----------------------------------------------------------------
 
     def listen(self) -> None:
-        """Open both listeners; OSError if an address cannot be had."""
+        """Open both listeners; OSError if an address cannot be had, and then again later.
+
+        Whoever has both addresses is the node. Nothing is asked, told or stood for
+        before, so what an earlier process of this node does is over by then.
+        """
         settings = self.settings
-        for address, app, limit, name in (
+        doors = (
             (settings.cluster_listen, self.desk.cluster, self._capacity.peers, "cluster"),
             (settings.listen, self.desk.public, self._capacity.connections, "listen"),
-        ):
+        )
+        for address, app, limit, name in doors[len(self._listeners) :]:
             self._listeners.append(Listener(split_address(address), app, limit, name))
 
     def start(self) -> None:
@@ -159,14 +164,17 @@
         log.info("%s serves on %s", self.settings.name, self.settings.listen)
 
     def stop(self) -> None:
-        """Orderly end: take no more, give up what is held, end the routines."""
+        """Orderly end: give up what is held, take no more, end the routines.
+
+        In this order: once the addresses are free, another process may be this node.
+        """
         self._stop.set()
-        for listener in self._listeners:
-            listener.stop()
         self._neighbours.stop()
         for holding in [*self.holdings.values()]:
             holding.stop()
             self._post(events.Lost(holding.share))
+        for listener in self._listeners:
+            listener.stop()
         self.cloud.stop()
         self.workers.stop()
         self.desk.stop()
@@ -212,6 +220,7 @@
             leadership.may_answer(now),
             election.share_sent if leadership.leading else 0.0,
             election.can_relay(),
+            process=self._house.mark,
         )
         return hello if self.keeper is None else self.keeper.hello(hello, now)
 
--- a/appleshift/protocol/peers.py
+++ b/appleshift/protocol/peers.py
@@ -22,6 +22,9 @@
     seq: int
     for_s: float
     share: int = 0
+    process: str = ""
+    """Of the process that asks, not of the node: one that ended and was started again
+    within a moment must not be bound, nor bind others, by what the earlier one sent."""
 
 
 class Held(msgspec.Struct, frozen=True):
@@ -51,6 +54,8 @@
     """Of the map of shares that it goes by; 0: it knows of none."""
     wanted: list[str] = []
     """Of a leader: the node that is to hold each share, "" for any."""
+    process: str = ""
+    """Chosen anew at each start: which process of that node says so."""
 
 
 class ReachRequest(msgspec.Struct, frozen=True):
--- a/appleshift/transport/client.py
+++ b/appleshift/transport/client.py
@@ -89,13 +89,19 @@
             head += f"Content-Type: {CONTENT_TYPE}\r\nContent-Length: {len(body)}\r\n"
         until = time.monotonic() + timeout
         connection: socket.socket | None = None
+        reused = False
         try:
-            connection = self._take(timeout)
+            connection, reused = self._take(timeout)
             connection.sendall(head.encode() + b"\r\n" + (body or b""))
             answer = self._receive(connection, until)
         except (OSError, ValueError, httptools.HttpParserError) as error:
             if connection is not None:
                 connection.close()
+            if reused and not isinstance(error, TimeoutError):
+                # The other process ended, or closed it: so it did with the others
+                # that were kept. Each would have cost a request of its own, and a
+                # process that is back within a moment has none of them.
+                self.close()
             raise ClientError(f"{self._host}:{self._port}{path}: {error!r}") from None
         if answer.reusable:
             self._give(connection)
@@ -123,7 +129,8 @@
                 connection.settimeout(left)
         return answer
 
-    def _take(self, timeout: float) -> socket.socket:
+    def _take(self, timeout: float) -> tuple[socket.socket, bool]:
+        """A connection, and whether it has served before."""
         now = time.monotonic()
         with self._lock:
             while self._free:
@@ -133,11 +140,11 @@
                 if now - since < self._idle_s:
                     if connection.gettimeout() != timeout:
                         connection.settimeout(timeout)
-                    return connection
+                    return connection, True
                 connection.close()
         connection = socket.create_connection((self._host, self._port), timeout)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return connection
+        return connection, False
 
     def _give(self, connection: socket.socket) -> None:
         with self._lock:
--- a/appleshift/transport/routines.py
+++ b/appleshift/transport/routines.py
@@ -106,7 +106,14 @@
                 return
             self._started += 1
             number = self._started
-        self._routines.spawn(f"{self._name}-{number}", self._run)
+        try:
+            self._routines.spawn(f"{self._name}-{number}", self._run)
+        except RuntimeError:
+            # No more threads to be had. Whoever submits, often the core, goes on; the
+            # call waits for a routine that there is, or for the next one's try.
+            with self._lock:
+                self._started -= 1
+            log.warning("%s: no thread for another routine, %d run", self._name, number - 1)
 
     def stop(self) -> None:
         """Drop what waits; calls under way end by their timeouts."""
