--- a/appleshift/transport/server.py
+++ b/appleshift/transport/server.py
@@ -22,6 +22,7 @@
 ANSWER_S = 10.0
 """So long may an answer take, until its receiver has accepted it."""
 SWEEP_S = 1.0
+SAY_S = 30.0
 CROWDED_IDLE_S = 5.0
 """If there is no place for another connection, one that was idle for this long
 loses its own: those who report keep theirs in a flood of those who do not."""
@@ -190,7 +191,8 @@
         self._name = name
         # Of the open connections; each is written by its own routine only.
         self._waits: dict[socket.socket, _Wait] = {}
-        self._next_sweep = 0.0
+        self._next_sweep = self._next_say = 0.0
+        self._limit, self._refused = limit, 0
         handler = type("BoundHandler", (Handler,), {"app": staticmethod(app)})
         super().__init__(address, handler)
 
@@ -210,6 +212,7 @@
 
     def process_request(self, request: Any, client_address: Any) -> None:
         if not self._slots.acquire(blocking=False):
+            self._refused += 1
             self.shutdown_request(request)
             self._make_place()
             return
@@ -217,6 +220,7 @@
             super().process_request(request, client_address)
         except RuntimeError:
             # No more threads to be had.
+            self._refused += 1
             self._slots.release()
             self.shutdown_request(request)
 
@@ -238,6 +242,13 @@
             if now > wait.until:
                 log.debug("closing a connection that waits too long")
                 self._break(connection)
+        if self._refused and now >= self._next_say:
+            self._next_say = now + SAY_S
+            log.warning(
+                "%s: %d connections refused, %d of %d places are taken",
+                *(self._name, self._refused, self.connections(), self._limit),
+            )
+            self._refused = 0
 
     def _make_place(self) -> None:
         """Whoever comes next finds one, if a connection is idle for long."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -282,6 +282,17 @@
             worker.dead = True
             worker.end_all()
 
+    def answers(self, name: str) -> None:
+        """Wait until that node's process answers on its port."""
+        until = time.monotonic() + PATIENCE_S
+        while time.monotonic() < until:
+            try:
+                HttpClient(("127.0.0.1", self.public[name])).request("GET", "/nodes")
+                return
+            except ClientError:
+                time.sleep(0.1)
+        pytest.fail(f"{name} does not answer")
+
     def leader(self) -> str:
         return self._node(lambda name, body: name if body["leading"] else None)
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -44,6 +45,40 @@
     assert not loopback.rules.broken
 
 
+def test_processes_killed_and_back_within_a_tenth_of_a_second_fifty_times(
+    loopback: Loopback,
+) -> None:
+    """In their first states too, and now and then beside one that has not ended yet."""
+    service = loopback.submit(1, shape="daemon", pieces=2)
+    arrays = []
+    loopback.ask(service, "poll", "running")
+    for number in range(50):
+        victim = loopback.names[number % 3] if number % 5 else loopback.leader()
+        ending = loopback.processes[victim]
+        if number % 7 == 0:
+            # Its addresses are still taken: it waits for them.
+            loopback.launch(victim)
+            time.sleep(0.3)
+            assert loopback.processes[victim].poll() is None
+        ending.kill()
+        ending.wait()
+        if number % 7:
+            loopback.launch(victim)
+        if number % 10 == 0:
+            arrays.append(loopback.submit(100 + number, pieces=12, vcpus=0.2))
+        time.sleep(loopback.clock.rng.uniform(0.02, 0.5))
+    for job in arrays:
+        loopback.ask(job, "poll", "done")
+        assert len(loopback.rules.jobs[job].done) == 12
+    loopback.ask(service, "poll", "running")
+    loopback.ask(service, "cancel", "aborted")
+    # None ended by itself, and each has its port.
+    assert [process.poll() for process in loopback.processes.values()] == [None] * 3
+    for name in loopback.names:
+        loopback.answers(name)
+    assert not loopback.rules.broken
+
+
 def test_holders_of_shares_killed_in_turn_lose_nothing(tmp_path: Path) -> None:
     """Three processes, three shares; every task is looked at from outside."""
     loopback = Loopback(tmp_path, operator="shares: 3\n")
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -24,6 +24,11 @@
     assert small.rest_s > large.rest_s
     for each, sockets in ((small, 300), (large, 4000)):
         assert each.connections + each.peers + each.calls + each.clients < sockets
+    # A process may have 2,000 threads, however many sockets and however much memory:
+    # siblings' places once followed from the sockets alone.
+    for sockets in (100, 1417, 1888, 4000, 20_000, 200_000):
+        most = Capacity.of(MachineLimits(core_share=4.0, memory_mb=8000.0, max_sockets=sockets))
+        assert most.connections + most.peers + most.calls < 1900
 
 
 def test_a_node_says_when_it_is_short_of_processor_or_memory(
