--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -406,6 +406,8 @@
         self.run_ratios: dict[str, float] = {}
         # The most CPUs and memory that work with cards took for one card.
         self.card_needs: tuple[float, float] | None = None
+        # Has work with cards come that may use spot machines?
+        self._cards_on_spot = False
         self.counted: Counted | None = None
 
     def set_types(self, types: list[MachineType]) -> bool:
@@ -435,6 +437,7 @@
         self.jobs[index] = job
         self.job_by_id[job.key] = job
         if spec.gpus > 0:
+            self._cards_on_spot = self._cards_on_spot or spec.spot
             cpus, memory = self.card_needs or (0.0, 0.0)
             self.card_needs = (
                 max(cpus, spec.cpus / spec.gpus),
@@ -529,6 +532,10 @@
         cpus, memory = self.card_needs
         return spec.cpus - cpus * spec.gpus, spec.memory_gb - memory * spec.gpus
 
+    def spot_cards_unclaimed(self) -> bool:
+        """Work with cards is known, and none of it may use spot machines."""
+        return self.card_needs is not None and not self._cards_on_spot
+
     def expected_s(self, job: Job) -> float:
         """A task's run time: the owner's estimate, corrected by what was seen.
 
--- a/appleshift/coordination/fleet/fleet.py
+++ b/appleshift/coordination/fleet/fleet.py
@@ -270,6 +270,10 @@
             return False
         return self.refused.get((kind, zone, spot), (0.0, 0.0))[0] <= self.core.now
 
+    def exhausted(self, kind: int, zone: int, spot: bool) -> bool:
+        """Asked last, this market had less than was wanted."""
+        return (kind, zone, spot) in self.refused
+
     def available(self, kind: int, zone: int, spot: bool) -> bool:
         """Worth asking now: not refused lately, and no answer still to come.
 
--- a/appleshift/coordination/fleet/provisioning.py
+++ b/appleshift/coordination/fleet/provisioning.py
@@ -8,6 +8,7 @@
 
 from appleshift.bookkeeping.tables import BOOTING, OPEN, UP, Job, Machine, Tables
 from appleshift.coordination.fleet.scaling import Market, Plan, find_plan, machines_for
+from appleshift.coordination.fleet.unclaimed import rent_unclaimed
 from appleshift.coordination.parts import Machines, Need
 from appleshift.coordination.placing.placement import Shortage
 from appleshift.coordination.placing.room import how_many, zone_room
@@ -274,6 +275,8 @@
                 missing_units -= got * units
                 if missing_units <= 1e-6:
                     return
+            if not self.gpus:
+                rent_unclaimed(fleet, self.steady, missing_units)
 
     def _cover_shortages(self, now: float) -> None:
         """Rent for work that the capacity there is can never take.
--- /dev/null
+++ b/appleshift/coordination/fleet/unclaimed.py
@@ -0,0 +1,63 @@
+"""Spot machines with cards that no work with cards may use, for work without.
+
+Where no class with cards may run on spot machines, nobody rents those. They are dear
+for work without cards, but when every market without cards has refused, what waits
+misses its deadline on machines that nobody else wants. So they are rented for tasks
+that end, and go back when idle like any other.
+"""
+
+from __future__ import annotations
+
+from appleshift.coordination.parts import Machines
+from appleshift.protocol import cloud
+
+DEAREST = 2.0
+"""Of the price of the cheapest steady machine, by CPUs. Operators reckon that work which
+is long overdue is bought elsewhere for twice its cost: beyond that, waiting is cheaper."""
+
+
+def rent_unclaimed(fleet: Machines, steady: int, missing: float) -> None:
+    """Rent for capacity that is missing, in steady machines of a type without cards, once
+    no market without cards has any."""
+    tables = fleet.tables
+    if fleet.core.sharing is not None or not tables.spot_cards_unclaimed():
+        return
+    waiting = any(
+        shortage.job.spec.gpus <= 0
+        and shortage.job.spec.spot
+        and shortage.job.spec.types is None
+        and not (shortage.job.service or shortage.job.gang)
+        for shortage in fleet.shortages
+    )
+    if not waiting:
+        return
+    plain = tables.types[steady]
+    for index, kind in enumerate(tables.types):
+        for name in kind.zones if kind.gpus <= 0 else ():
+            zone = tables.zones.get(name)
+            if not all(fleet.exhausted(index, zone, spot) for spot in (False, True)):
+                return
+    dear = plain.price / plain.cpus * DEAREST
+    offers = sorted(
+        (kind.spot_price / kind.cpus, index)
+        for index, kind in enumerate(tables.types)
+        if kind.gpus > 0 and kind.cpus > 0 and kind.spot_price <= dear * kind.cpus
+    )
+    for _, index in offers:
+        kind = tables.types[index]
+        units = min(kind.cpus / plain.cpus, kind.memory_gb / plain.memory_gb)
+        have = sum(
+            1
+            for machine in tables.machines.values()
+            if machine.type == index and machine.spot and not machine.asked_gone
+        )
+        have += sum(
+            count for asked, _, spot, count in fleet.asked.values() if spot and asked == index
+        )
+        wanted = int(missing / units) - have
+        for name in kind.zones:
+            zone = tables.zones.get(name)
+            if wanted > 0 and zone >= 0 and fleet.available(index, zone, True):
+                fleet.rent(index, zone, True, wanted)
+                wanted -= min(wanted, cloud.MAX_RENT)
+        missing -= have * units
--- a/appleshift/coordination/placing/placement.py
+++ b/appleshift/coordination/placing/placement.py
@@ -370,7 +370,11 @@
             if spec.gpus <= 0:
                 continue
             most = self.tables.beside_cards(kind)
+            unclaimed = self.tables.spot_cards_unclaimed()
             for machine in machines:
+                if machine.spot and unclaimed:
+                    left[machine.index] = (machine.free_cpus, machine.free_memory)
+                    continue
                 if machine.free_gpus + EPSILON >= spec.gpus:
                     continue
                 cpus, memory = most
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -205,6 +205,23 @@
     assert where(place(made)) == [("m0", [0])]
 
 
+def test_work_that_ends_gets_spot_machines_with_cards_that_nobody_may_claim() -> None:
+    made = tables([("cards", "a", True), ("cards", "a", False)])
+    array = job(made, tasks=40, cpus=1.0, memory_gb=1.0)
+    # Nothing is known of work with cards yet.
+    assert place(made).placements == []
+    job(made, shape="ensemble", gpus=4.0, cpus=12.0, memory_gb=50.0, spot=False)
+    job(made, shape="daemon")
+    job(made, tasks=3, spot=False)
+    assert [(name, len(tasks)) for name, tasks in where(place(made))] == [("m0", 16), ("m1", 1)]
+    for run in list(array.runs.values()):
+        made.free(run)
+    assert len(array.pending) == 40
+    job(made, gpus=1.0, cpus=12.0, memory_gb=50.0, spot=True)
+    placed = [(each.job, each.machine.name) for each in place(made).placements]
+    assert (array, "m0") not in placed
+
+
 def test_what_ran_of_a_job_corrects_what_its_owner_said() -> None:
     made = tables([("small", "a", False)])
     wrong = job(made, estimate_s=10.0)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -14,7 +15,7 @@
 from appleshift.transport.server import Request
 from tests.chaos import heal, outages, unleash
 from tests.rules import Seen
-from tests.sites import LARGE
+from tests.sites import KINDS, LARGE, SMALL
 from tests.standins import Reply
 from tests.world import World
 
@@ -443,6 +444,38 @@
         world.close()
 
 
+@pytest.mark.parametrize("claimed", [False, True])
+def test_spot_machines_with_cards_that_nobody_claims_help_out_and_go_back(claimed: bool) -> None:
+    """Once arrays missed their deadlines beside a market that nobody else could use."""
+    cheap = {**KINDS[2], "low_price": 1.2}
+    capacity = {**SMALL.capacity, ("cards", "b", True): 4}
+    site = replace(SMALL, teams=[{"name": "red"}], kinds=[*KINDS[:2], cheap], capacity=capacity)
+    world = World(58, site=site)
+    world.lossy = world.cloud.fail_boots = 0.0
+    plain = {"owner": "red", "rig_kinds": None, "yard": None, "together": False, "spread": False}
+    gang = {**plain, "shape": "ensemble", "rig_kinds": ["cards"], "cards": 2.0, "pieces": 1}
+    try:
+        world.submit(**gang, loaners=claimed)
+        for _ in range(30):
+            job = world.submit(
+                **plain, shape="array", pieces=40, vcpus=2.0, cards=0.0, ram_gb=1.0,
+                loaners=True, urgency="standard",
+            )  # fmt: skip
+            world.times[job] = 10.0
+        world.run(75.0)
+        lent = [
+            worker
+            for worker in world.workers.values()
+            if worker.rig.kind["label"] == "cards" and worker.rig.spot and worker.tasks
+        ]
+        assert len(lent) == (0 if claimed else 4)
+        world.run(400.0)
+        assert unfinished(world) == []
+        assert not [worker for worker in world.workers.values() if worker.rig.spot]
+    finally:
+        world.close()
+
+
 def test_nothing_kept_grows_once_jobs_are_over() -> None:
     """But for the final states, which users may ask for at any time."""
     world = World(56)
