--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -307,6 +307,8 @@
         if now < self._next_sample:
             return
         self._next_sample = now + SAMPLE_GAP_S
+        if not core.tables.machines:
+            self.reach.sight.forget()
         by_zone: dict[int, list[str]] = {}
         for machine in core.tables.machines.values():
             some = by_zone.setdefault(machine.zone, [])
--- a/appleshift/reach/duty.py
+++ b/appleshift/reach/duty.py
@@ -77,7 +77,11 @@
             age = None if sees.workers_s < 0.0 else sees.workers_s
             self._others.said(sibling, Word(now, Seen(age, sees.steady_s), sees.state))
         if hello.entitled and not self._leads():
-            self.sight.offer(hello.sample)
+            if hello.sample:
+                self.sight.offer(hello.sample)
+            elif hello.sees is not None:
+                # A leader that no worker reaches names those that once did.
+                self.sight.forget()
 
     def restarted(self, sibling: str) -> None:
         self._others.forget(sibling)
--- a/appleshift/reach/sight.py
+++ b/appleshift/reach/sight.py
@@ -61,6 +61,10 @@
         if some and some != self.sample:
             self.sample = some
 
+    def forget(self) -> None:
+        """There are no workers: nothing is missed, and nobody waits for their answers."""
+        self.sample = self._missed = ()
+
     def heard(self, now: float) -> None:
         """A worker reported here, or answered."""
         if self._contact is None or now - self._contact > QUIET_S + IDLE_ASK_S + ASK_S:
