--- a/appleshift/reach/duty.py
+++ b/appleshift/reach/duty.py
@@ -20,6 +20,8 @@
 ELECTION_ASK_S = 0.5
 """Whoever stands for election had a contact within this, or asks for one."""
 CONFIRM_S = 1.2
+CONFIRM_BY = 2
+"""Workers that a sibling asks, one after the other, before it answers."""
 NONE = -1.0
 """In a hello: no contact so far."""
 
@@ -126,7 +128,7 @@
         """Does it reach a worker and the state service right now? One that waits on an
         open watch learns late that it is cut off from the state service; to hand over to
         it would leave nobody entitled."""
-        request = encode(peers.ReachRequest([*self.sight.sample[:3]]))
+        request = encode(peers.ReachRequest([*self.sight.sample[:CONFIRM_BY]]))
         try:
             client = self._siblings[sibling]
             status, body = client.request("POST", peers.REACH_PATH, request, CONFIRM_S)
@@ -143,9 +145,10 @@
         """
         now = self._routines.now()
         sight = self.sight
-        if not sight.sample or sight.fresh(now, ELECTION_ASK_S):
+        address = sight.any()
+        if address is None or sight.fresh(now, ELECTION_ASK_S):
             return 0.0
-        if not sight.lost() and self._ask(sight.any()):
+        if not sight.lost() and self._ask(address):
             return 0.0
         now = self._routines.now()
         return HELD_S if self._others.reaching(now, sight.missing_since) else UNSURE_S
--- a/appleshift/reach/sight.py
+++ b/appleshift/reach/sight.py
@@ -86,12 +86,14 @@
 
     def next(self, now: float) -> str | None:
         """Whom to ask now, if anybody."""
-        return self.any() if self.sample and self.due(now) else None
+        return self.any() if self.due(now) else None
 
-    def any(self) -> str:
-        """The next worker of the sample, whoever needs an answer now."""
+    def any(self) -> str | None:
+        """The next worker of the sample, whoever needs an answer now; None without one."""
         self._turn += 1
-        return self.sample[self._turn % len(self.sample)]
+        # Another routine may put another in its place, or none.
+        sample = self.sample
+        return sample[self._turn % len(sample)] if sample else None
 
     def due(self, now: float) -> bool:
         contact = self._contact
