--- a/appleshift/coordination/fleet/unclaimed.py
+++ b/appleshift/coordination/fleet/unclaimed.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from appleshift.coordination.parts import Machines
+from appleshift.coordination.placing.room import ends_anywhere
 from appleshift.protocol import cloud
 
 DEAREST = 2.0
@@ -22,14 +23,8 @@
     tables = fleet.tables
     if fleet.core.sharing is not None or not tables.spot_cards_unclaimed():
         return
-    waiting = any(
-        shortage.job.spec.gpus <= 0
-        and shortage.job.spec.spot
-        and shortage.job.spec.types is None
-        and not (shortage.job.service or shortage.job.gang)
-        for shortage in fleet.shortages
-    )
-    if not waiting:
+    jobs = (shortage.job for shortage in fleet.shortages)
+    if not any(job.spec.spot and ends_anywhere(job) for job in jobs):
         return
     plain = tables.types[steady]
     for index, kind in enumerate(tables.types):
--- a/appleshift/coordination/placing/placement.py
+++ b/appleshift/coordination/placing/placement.py
@@ -13,7 +13,7 @@
 from appleshift.coordination.placing.aims import Aims
 from appleshift.coordination.placing.counted import SeatPass
 from appleshift.coordination.placing.preemption import Preemption
-from appleshift.coordination.placing.room import Failures, how_many, zone_room
+from appleshift.coordination.placing.room import Failures, ends_anywhere, how_many, zone_room
 
 SLOW_FETCH = 4 / 3
 """Machines fetch images at their rate, give or take a third."""
@@ -339,14 +339,10 @@
         return made
 
     def _beside_cards(self, job: Job) -> list[Machine]:
-        """Machines whose cards are in use and leave room that no cards will need.
-
-        Only for work that ends: a replica would keep a dear machine for good.
-        """
+        """Machines whose cards are in use and leave room that no cards will need, and spot
+        machines whose cards nobody may use."""
         spec = job.spec
-        if spec.gpus > 0 or job.gang or job.service or spec.spread or spec.together:
-            return []
-        if spec.types is not None or self.tables.card_needs is None:
+        if not ends_anywhere(job) or self.tables.card_needs is None:
             return []
         if self._beside is None:
             self._beside = self._left_beside()
--- a/appleshift/coordination/placing/room.py
+++ b/appleshift/coordination/placing/room.py
@@ -77,3 +77,11 @@
             and failed.memory_gb <= spec.memory_gb
             for failed, most in self._needs.get(key, ())
         )
+
+
+def ends_anywhere(job: Job) -> bool:
+    """Work without cards that ends and is bound to nothing: it may use what machines with
+    cards have left, for a replica would keep a dear machine for good."""
+    spec = job.spec
+    bound = spec.spread or spec.together or spec.types is not None
+    return not (spec.gpus > 0 or job.gang or job.service or bound)
