--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -107,6 +107,7 @@
         "done_count",
         "done_durable",
         "errors_on",
+        "gathers_in",
         "held_since",
         "image",
         "index",
@@ -152,6 +153,8 @@
         self.avoid: dict[int, float] = {}
         self.backoff_s = 0.0
         self.not_before = 0.0
+        # The zone in which it gathers machines; -1: none yet.
+        self.gathers_in = -1
         # Since when its replicas wait for room where their image is.
         self.held_since = 0.0
         # Run times of its finished tasks, to compare machines by.
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -523,7 +523,9 @@
     def _tick(self) -> None:
         for machine in list(self.tables.machines.values()):
             self._caught_up(machine)
-            if machine.runs and machine.lease_until < self.now and machine.session:
+            # A node that slept for 23 s judged 600 leases in its first moment, for nobody.
+            over = machine.runs and machine.lease_until < self.now and machine.session
+            if over and self.authority.may_answer(self.now):
                 log.info("lease of machine %s ran out", machine.name)
                 self.session_over(machine)
         cancel_s = self.settings.deployment.workers.cancel_s
--- a/appleshift/coordination/placing/aims.py
+++ b/appleshift/coordination/placing/aims.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from appleshift.bookkeeping.tables import Job
+from appleshift.coordination.placing.turns import Spare
 from appleshift.protocol.settings import Objective
 
 PATIENCE_SHARE = 0.25
@@ -16,6 +17,9 @@
 GATHER_SHARE = 0.5
 GATHER_S = 60.0
 """When a gang begins to gather if nobody said how long it may wait."""
+GATHER_AT_LAST_S = 140.0
+"""From then on a gang gathers whatever its class accepts: a whole large one is to begin
+within 240 s, and the machines that it needs fall free one by one."""
 
 
 class Due(NamedTuple):
@@ -37,6 +41,8 @@
         # Teams, by their index, of whose work too little was served lately: among
         # jobs of one priority theirs go first (``coordination/serving``).
         self.behind: set[int] = set()
+        # What others than guests needed lately.
+        self.spare = Spare()
         self._waits: dict[str, list[float]] = {}
         self._ends: dict[str, list[float]] = {}
         self._times: dict[str, list[float]] = {}
@@ -50,6 +56,14 @@
             elif objective.kind == "deadline":
                 self._times.setdefault(objective.job_class, []).append(objective.times)
 
+    def guest(self, job: Job) -> bool:
+        """Work that ends, of which nobody says when, while it is said of others."""
+        name = job.spec.job_class
+        said = self._waits, self._ends, self._times
+        if job.service or job.spec.deadline_s is not None or not any(said):
+            return False
+        return not any(name in some for some in said)
+
     def wait_s(self, job_class: str) -> float | None:
         """How soon tasks of a class are to start; None: nobody said."""
         return min(self._waits.get(job_class, ()), default=None)
@@ -73,12 +87,14 @@
 
         Each machine kept makes smaller gangs wait, so a gang gathers only once
         it would otherwise start late. One that is late anyway lets those go
-        first that are not, until it has waited so long again.
+        first that are not, until it has waited for too long.
         """
+        if age >= GATHER_AT_LAST_S:
+            return True
         within = self.wait_s(job.spec.job_class)
         if within is None:
             return age >= GATHER_S
-        return GATHER_SHARE * within <= age < within or age >= 2 * within
+        return GATHER_SHARE * within <= age < within
 
     def due(self, job: Job, start_s: float) -> list[Due]:
         """All that is expected of a job; ``start_s``: how soon it is to start if nobody
--- a/appleshift/coordination/placing/placement.py
+++ b/appleshift/coordination/placing/placement.py
@@ -10,10 +10,11 @@
 from dataclasses import dataclass, field
 
 from appleshift.bookkeeping.tables import EPSILON, OPEN, Job, Machine, Run, Tables
-from appleshift.coordination.placing.aims import Aims
+from appleshift.coordination.placing.aims import GATHER_AT_LAST_S, Aims
 from appleshift.coordination.placing.counted import SeatPass
 from appleshift.coordination.placing.preemption import Preemption
 from appleshift.coordination.placing.room import Failures, ends_anywhere, how_many, zone_room
+from appleshift.coordination.placing.turns import turns
 
 SLOW_FETCH = 4 / 3
 """Machines fetch images at their rate, give or take a third."""
@@ -85,6 +86,8 @@
         # Machines whose room is kept for a gang that gathers, for this pass.
         self.kept: set[int] = set()
         self._gathering: set[tuple[object, ...]] = set()
+        # Teams that save up what their limit leaves for a large gang.
+        self._saving: set[int] = set()
         # Tasks of waiting gangs that can still be in time.
         self._gang_tasks = 0
         self._beside: dict[int, tuple[float, float]] | None = None
@@ -105,8 +108,9 @@
         )
         return sorted(jobs, key=self._urgency)
 
-    def _urgency(self, job: Job) -> tuple[int, bool, bool, int, float, float]:
-        """Within a priority: what can still be in time, and of that the least work.
+    def _urgency(self, job: Job) -> tuple[int, bool, bool, bool, int, float, float]:
+        """Within a priority: what can still be in time, and of that the least work;
+        last what nobody waits for by any time.
 
         When there is more work than room, somebody is late whatever the order;
         the least work first keeps the number of late jobs down. A team whose jobs
@@ -118,18 +122,27 @@
         if job.seats and self.seats is not None:
             borrowed = borrowed or self.seats.borrowed(job)
         if job.service:
-            return (job.rank, borrowed, job.team not in self.aims.behind, 0, 0.0, job.submitted)
+            usual = job.team not in self.aims.behind
+            return (job.rank, borrowed, False, usual, 0, 0.0, job.submitted)
         work = len(job.pending) * self.tables.expected_s(job) * max(spec.cpus, spec.gpus)
-        if job.gang and self._gathers(job):
-            work = 0.0
         late = self.late(job)
         usual = late > 0 or job.team not in self.aims.behind
-        return (job.rank, borrowed, usual, late, work, job.submitted)
+        if job.gang and self._gathers(job):
+            work = 0.0
+            if self._age(job) >= GATHER_AT_LAST_S:
+                # It would be late for good: small ones that come are never all in time.
+                late, usual = 0, False
+        return (job.rank, borrowed, self.aims.guest(job), usual, late, work, job.submitted)
+
+    def _age(self, job: Job) -> float:
+        return self.wall - job.submitted
 
     def _gathers(self, job: Job) -> bool:
         """Is it this gang's turn to keep the machines that fall free?"""
-        if not self.aims.gathers(job, self.wall - job.submitted):
+        if not self.aims.gathers(job, self._age(job)):
             return False
+        if self._age(job) >= GATHER_AT_LAST_S:
+            return True
         # With more work than room, what is kept for one makes several late.
         others = self._gang_tasks - (0 if self.late(job) else len(job.pending))
         return others < len(job.pending)
@@ -225,11 +238,13 @@
         self._preempt = preempt
         if self.seats is not None:
             self.result.victims += self.seats.surplus()
-        for job in self.order():
-            missing = self._place_gang(job) if job.gang else self._place_tasks(job)
-            if missing:
+        order = self.order()
+        for turn in turns(order, self.tables, self.pools, self.aims, self.now, self.wall):
+            job = turn.job
+            missing = self._place_gang(job) if job.gang else self._place_tasks(job, turn.most)
+            if missing and turn.most is None:
                 self.result.shortages.append(Shortage(job, missing))
-                if preempt and self.wall - job.submitted >= self.aims.patience_s(job):
+                if preempt and self._age(job) >= self.aims.patience_s(job):
                     self.result.victims += self.preemption.victims(job, missing)
         if self.seats is not None:
             self.seats.close()
@@ -246,7 +261,7 @@
             return waiting
         room = self.seats.room(job, waiting)
         if room < waiting:
-            urgent = self._preempt and self.wall - job.submitted >= self.aims.patience_s(job)
+            urgent = self._preempt and self._age(job) >= self.aims.patience_s(job)
             self.result.victims += self.seats.short(job, waiting - room, urgent)
         return room
 
@@ -262,14 +277,17 @@
             )
         self.result.placements.append(Placement(job, machine, attempt, tasks))
 
-    def _place_tasks(self, job: Job) -> int:
-        """Place what fits of an array or a service; returns what does not."""
+    def _place_tasks(self, job: Job, most: int | None = None) -> int:
+        """Place what fits of an array or a service, up to ``most`` tasks if that is given;
+        returns what does not."""
         spec = job.spec
         team = self.tables.teams[job.team]
         if not team.room_for(spec.cpus, spec.gpus):
             # What ends will make room within the limit; no machine could.
             return 0
         seated = self._seated(job)
+        if most is not None:
+            seated = min(seated, most)
         if not seated:
             return 0
         hopeless = self.hopeless(job)
@@ -440,7 +458,12 @@
             # Tasks of the old attempt may still be on their machines.
             return 0
         left = len(job.pending)
+        if job.team in self._saving:
+            return 0
         if not team.room_for(spec.cpus * left, spec.gpus * left):
+            if self._age(job) >= GATHER_AT_LAST_S:
+                # What falls free of the limit goes to it, not to smaller ones that come.
+                self._saving.add(job.team)
             return 0
         if not self._seated(job):
             return 0
@@ -495,7 +518,13 @@
         if job.spec.together and not zones:
             return
         self._gathering.add(key)
-        best = max(zones, key=lambda zone: (free[zone], size[zone]), default=-1)
+        # Machines fall free the sooner the more there are. What it has gathered is lost if
+        # it turns to another zone: it does so only for half the time that is left.
+        wait = {zone: max(0, left - free[zone]) / size[zone] for zone in zones}
+        best = min(zones, key=lambda zone: (wait[zone], -size[zone]), default=-1)
+        if job.gathers_in in zones and wait[best] > wait[job.gathers_in] / 2:
+            best = job.gathers_in
+        job.gathers_in = best
         for machine in machines:
             if left <= 0:
                 break
--- /dev/null
+++ b/appleshift/coordination/placing/turns.py
@@ -0,0 +1,151 @@
+"""Whose turn it is beside the order of urgency: every job begins, guests get what is idle.
+
+The least work first keeps the number of late jobs down and would let a large array wait
+for as long as there are small ones. Three small rights stand beside that order:
+
+- An array of which nothing has begun after a while gets a place for one task.
+- Arrays that wait for long get a small part of the machines together, the oldest first.
+- Work of which nobody says when it is to be done (a *guest*) comes last among its
+  priority, and if it is long it takes only what others did not need lately: it cannot be
+  stopped for them. A small part of the machines is its own all the same.
+
+``docs/design-served.md`` has the ways weighed and what each of them cost.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from appleshift.bookkeeping.tables import OPEN, Job, Machine, Tables
+
+FOOT_S = 60.0
+"""An array of which nothing began by then gets a place for a task."""
+URGENT_S = 150.0
+"""From then on before more urgent work, too, critical work excepted: the operators want
+the largest jobs begun within 240 s."""
+OLD_S = 120.0
+OLD_SHARE = 0.08
+GUEST_SHARE = 0.08
+"""Of the CPUs of machines without cards: what arrays that wait for long have for
+themselves, and what guests have."""
+LONG_S = 30.0
+"""Guests' tasks that run for less leave soon enough."""
+LOOK_S = 1.0
+KEPT_S = 60.0
+
+
+class Spare:
+    """What work with aims needed lately, in CPUs; of one term."""
+
+    def __init__(self) -> None:
+        self._seen: deque[tuple[float, float]] = deque()
+
+    def due(self, now: float) -> bool:
+        return not self._seen or now - self._seen[-1][0] >= LOOK_S
+
+    def note(self, now: float, cpus: float) -> None:
+        self._seen.append((now, cpus))
+        while self._seen[0][0] < now - KEPT_S:
+            self._seen.popleft()
+
+    def needed(self) -> float:
+        """Between what it needed on average and at most: for the average, guests would
+        have the room of each second peak; for the most, much would lie idle."""
+        amounts = [cpus for _, cpus in self._seen]
+        return (sum(amounts) / len(amounts) + max(amounts)) / 2 if amounts else 0.0
+
+
+class Guests(Protocol):
+    """Who is one, and what the others needed."""
+
+    @property
+    def spare(self) -> Spare: ...
+
+    def guest(self, job: Job) -> bool: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    job: Job
+    most: int | None = None
+    """Place so many tasks at most and say nothing of the rest; None: all."""
+
+
+def turns(
+    order: Sequence[Job],
+    tables: Tables,
+    pools: Mapping[tuple[int, int, bool], Sequence[Machine]],
+    aims: Guests,
+    now: float,
+    wall: float,
+) -> Iterable[Turn]:
+    """The turns of one pass over jobs that are in the order of urgency."""
+    cpus = sum(
+        len(machines) * tables.types[kind].cpus
+        for (kind, _, _), machines in pools.items()
+        if tables.types[kind].gpus <= 0
+    )
+    guests = [job for job in order if aims.guest(job)]
+    if aims.spare.due(now):
+        aims.spare.note(now, min(cpus, _needed(tables.jobs.values(), aims)))
+    early = [
+        (job.rank if wall - job.submitted < URGENT_S else min(job.rank, 1), job, most)
+        for job, most in _early(order, guests, cpus, wall)
+    ]
+    early.sort(key=lambda entry: (entry[0], entry[1].submitted))
+    allowed = cpus - aims.spare.needed() - _held(guests)
+    position = 0
+    for job in order:
+        while position < len(early) and early[position][0] <= job.rank:
+            yield Turn(*early[position][1:])
+            position += 1
+        if job.gang or job.service or not aims.guest(job) or tables.expected_s(job) <= LONG_S:
+            yield Turn(job)
+            continue
+        most = min(len(job.pending), int(max(0.0, allowed) / max(0.01, job.spec.cpus)))
+        if most:
+            allowed -= most * job.spec.cpus
+            yield Turn(job, most)
+
+
+def _early(
+    order: Sequence[Job], guests: Sequence[Job], cpus: float, wall: float
+) -> Iterable[tuple[Job, int]]:
+    """Arrays that get some places before their turn, and how many. Of guests those that
+    are soonest over come first, or all of them would be half done."""
+    are_guests = {job.index for job in guests}
+    ending = [job for job in order if not (job.gang or job.service or job.index in are_guests)]
+    ending.sort(key=lambda job: job.submitted)
+    rooms = {
+        True: GUEST_SHARE * cpus - _held(guests),
+        False: OLD_SHARE * cpus - _held(job for job in ending if _old(job, wall, are_guests)),
+    }
+    ending += [job for job in guests if not job.gang]
+    for job in ending:
+        guest = job.index in are_guests
+        begun = bool(job.runs) or job.done_count > 0
+        most = 0 if begun or wall - job.submitted < FOOT_S else 1
+        if guest or _old(job, wall, are_guests):
+            most = max(most, min(len(job.pending), int(rooms[guest] / max(0.01, job.spec.cpus))))
+            rooms[guest] -= most * job.spec.cpus
+        if most > 0:
+            yield job, most
+
+
+def _old(job: Job, wall: float, guests: set[int]) -> bool:
+    return wall - job.submitted >= OLD_S and job.index not in guests
+
+
+def _held(jobs: Iterable[Job]) -> float:
+    return sum(len(job.runs) * job.spec.cpus for job in jobs)
+
+
+def _needed(jobs: Iterable[Job], aims: Guests) -> float:
+    return sum(
+        (len(job.runs) + len(job.pending)) * job.spec.cpus
+        for job in jobs
+        if job.status == OPEN and job.spec.gpus <= 0 and not aims.guest(job)
+    )
--- a/appleshift/coordination/serving/served.py
+++ b/appleshift/coordination/serving/served.py
@@ -36,8 +36,8 @@
 nobody is put first."""
 FEW = 6
 """Of so few jobs a part says nothing."""
-START_S = 60.0
-"""Within this a job is to start if nobody said how soon."""
+START_S = 240.0
+"""Within this a job is to start if nobody said how soon: the operators' own bound."""
 
 
 @dataclass(slots=True)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -215,6 +215,18 @@
     assert sum(isinstance(effect, Delete) for effect in bench.step(1.0)) == 1
 
 
+def test_a_node_that_slept_judges_nothing_by_the_time_it_slept() -> None:
+    bench = Bench(history())
+    authority = bench.core.authority = Lapsing()
+    bench.report(TaskReport("job-000000/0", 1, "running"))
+    authority.entitled = False
+    bench.step(90.0)
+    assert 0 in bench.core.tables.jobs[0].runs, "whoever leads now may have renewed the lease"
+    authority.entitled = True
+    bench.step(1.0)
+    assert 0 not in bench.core.tables.jobs[0].runs
+
+
 def two_zones() -> tuple[Bench, dict[str, list[str]]]:
     """Six machines that are up in each of two zones."""
     bench = Bench(history())
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,152 @@
+"""Every array begins, guests get what is idle, large gangs become whole."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from appleshift.bookkeeping.tables import Job
+from appleshift.coordination.placing import turns
+from appleshift.coordination.placing.aims import Aims
+from appleshift.coordination.placing.placement import Placer
+from appleshift.protocol.settings import Objective, TeamLimits
+from tests import make
+
+
+def test_an_array_of_which_nothing_began_gets_one_place_before_smaller_ones() -> None:
+    made = make.tables([("small", "a", False)])
+    aims = Aims([Objective("deadline", 0.9, "c")])
+    large = make.job(made, tasks=500, deadline_s=1000.0)
+    large.submitted = -1.0
+    for _ in range(3):
+        make.job(made, tasks=2, deadline_s=1000.0)
+
+    def pass_at(now: float) -> list[tuple[int, int]]:
+        result = Placer(made, now, now, -1.0, aims).run(False)
+        return [(each.job.index, len(each.tasks)) for each in result.placements]
+
+    assert large.index not in {index for index, _ in pass_at(1.0)}
+    first = make.job(made, tasks=3, cpus=4.0, deadline_s=1000.0)
+    for run in [run for job in made.jobs.values() for run in list(job.runs.values())]:
+        made.free(run)
+    assert pass_at(turns.FOOT_S + 1.0)[0] == (large.index, 1)
+    # What has begun waits for its turn again, until it has waited for long.
+    for run in list(first.runs.values()):
+        made.free(run)
+    assert large.index not in {index for index, _ in pass_at(turns.FOOT_S + 2.0)}
+
+
+def day_with_guests(seed: int) -> tuple[float, float]:
+    """After a first backlog, arrays with deadlines need most of what 160 CPUs can do; guests
+    bring long work for all of them.
+
+    Returns the part of the others' arrays that were done in time, and the longest wait of
+    any array for its first task.
+    """
+    rng = random.Random(seed)
+    made = make.tables([("large", zone, False) for zone in "ab" * 5])
+    aims = Aims([Objective("deadline", 0.9, "c", times=factor) for factor in (1.0, 1.5)])
+    open_jobs: list[Job] = []
+    in_time: list[bool] = []
+    wait = 0.0
+    for second in range(500):
+        now = float(second)
+        count = 24 if second == 5 else int(second % 4 == 0)
+        some = [("c", 9.0, 30.0, rng.choice([8, 16, 24, 60])) for _ in range(count)]
+        some += [("sweep", 300.0, None, 90)] * (3 if second == 40 else 0)
+        for name, run_s, due, tasks in some:
+            wanted = make.job(
+                made, job_class=name, tasks=tasks, estimate_s=run_s, deadline_s=due,
+                cpus=2.0, memory_gb=1.0,
+            )  # fmt: skip
+            wanted.submitted = now
+            open_jobs.append(wanted)
+        for each in Placer(made, now, now, -1.0, aims).run(False).placements:
+            wait = max(wait, now - each.job.submitted if each.attempt == 1 else 0.0)
+            for task in each.tasks:
+                each.job.runs[task].running_since = now
+        for each_job in list(open_jobs):
+            length = each_job.spec.estimate_s
+            for run in [r for r in each_job.runs.values() if now - r.running_since >= length]:
+                made.finish_task(each_job, run.task)
+                made.free(run)
+            if each_job.done_count == each_job.spec.tasks:
+                open_jobs.remove(each_job)
+                made.retire(each_job)
+                if each_job.spec.deadline_s is not None and each_job.submitted > 60.0:
+                    in_time.append(now - each_job.submitted <= 45.0)
+    late = [job for job in open_jobs if 60.0 < job.submitted < 400.0 and job.spec.deadline_s]
+    begun = max((500.0 - job.submitted for job in open_jobs if not job.attempt), default=0.0)
+    return sum(in_time) / (len(in_time) + len(late)), max(wait, begun)
+
+
+@pytest.mark.parametrize("seed", range(7100, 7104))
+def test_guests_take_what_is_idle_and_everything_begins(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Once a guest's long tasks held two thirds of a fleet for ten minutes, because work
+    that nobody waits for by any time is never late."""
+    in_time, wait = day_with_guests(seed)
+    monkeypatch.setattr(Aims, "guest", lambda self, job: False)
+    monkeypatch.setattr(turns, "FOOT_S", 1e9)
+    monkeypatch.setattr(turns, "OLD_S", 1e9)
+    before, wait_before = day_with_guests(seed)
+    print(before, in_time, wait_before, wait)
+    assert before < in_time - 0.12
+    assert wait_before > 240.0
+    assert in_time >= 0.82
+    assert wait < 120.0, "four minutes are the operators' bound"
+
+
+def test_a_gang_that_gathers_stays_in_its_zone_and_keeps_its_teams_limit() -> None:
+    made = make.tables([("cards", zone, False) for zone in "aaaabbbb"])
+    aims = Aims([Objective("wait", 0.9, "c", 100.0)])
+    busy = [make.job(made, shape="ensemble", gpus=4.0, cpus=16.0, tasks=1) for _ in range(8)]
+    Placer(made, 1.0, 1.0, -1.0, aims).run(False)
+    gang = make.job(made, shape="ensemble", gpus=4.0, cpus=16.0, tasks=4, together=True)
+
+    def free(name: str) -> None:
+        for run in list(make.machine(made, name).runs.values()):
+            made.free(run)
+            run.machine.runs.clear()
+            busy.remove(run.job)
+            made.jobs.pop(run.job.index)
+
+    def small_one_starts(now: float) -> bool:
+        small = make.job(made, shape="ensemble", gpus=4.0, cpus=16.0, tasks=1)
+        small.submitted = now
+        Placer(made, now, now, -1.0, aims).run(False)
+        if small.runs:
+            return True
+        made.jobs.pop(small.index)
+        return False
+
+    free("m0")
+    assert not small_one_starts(150.0), "kept for the gang"
+    assert gang.gathers_in == 0
+    free("m4")
+    assert small_one_starts(151.0), "what falls free elsewhere is not"
+    for name in ("m1", "m2", "m3"):
+        free(name)
+        assert not gang.runs
+        assert not small_one_starts(152.0)
+    assert len(gang.runs) == 4
+    assert {run.machine.zone for run in gang.runs.values()} == {0}
+
+
+def test_what_a_limit_leaves_is_saved_up_for_a_large_gang() -> None:
+    made = make.tables([("cards", "a", False)] * 4, red=TeamLimits("red", gpus_max=8.0))
+    first, second = (make.job(made, shape="ensemble", gpus=4.0, tasks=1) for _ in range(2))
+    aims = Aims([Objective("wait", 0.9, "c", 100.0)])
+    Placer(made, 1.0, 1.0, -1.0, aims).run(False)
+    gang = make.job(made, shape="ensemble", gpus=4.0, tasks=2, together=True)
+    for job, now in ((first, 150.0), (second, 151.0)):
+        (run,) = job.runs.values()
+        made.free(run)
+        made.jobs.pop(job.index)
+        small = make.job(made, shape="ensemble", gpus=4.0, tasks=1)
+        small.submitted = now
+        Placer(made, now, now, -1.0, aims).run(False)
+        assert not small.runs
+    assert len(gang.runs) == 2
