--- a/appleshift/bookkeeping/journal.py
+++ b/appleshift/bookkeeping/journal.py
@@ -152,6 +152,8 @@
     _txn: Txn | None = None
     _serial: int = 0
     _waiting_bytes: int = 0
+    _spent: int = 0
+    """The newest generation of a snapshot of which pages are being deleted."""
     snapshotting: bool = False
     watch: Callable[[Record], None] | None = None
     """Is shown each record once it is durable, in the order of the log."""
@@ -322,7 +324,11 @@
         audit_pages: int,
     ) -> None:
         old = self.meta
-        generation = old.generation + 1
+        # A deletion that got no answer may be carried out again, seconds later: no key
+        # that was ever deleted in this term is written again. The pages of a snapshot
+        # that broke off once had the next one's names, and a late copy of their
+        # deletion took a page from the snapshot in force.
+        generation = max(old.generation, self._spent) + 1
         pages = self._pages(records)
         final_pages = self._pages(finals)
         first, following, entries = old.audit
@@ -364,6 +370,9 @@
 
     def sweep(self, keys: list[str]) -> None:
         """Delete keys that no snapshot and no log needs any more."""
+        pages = self.prefix + SNAP
+        generations = [int(key[len(pages) :][:8]) for key in keys if key.startswith(pages)]
+        self._spent = max([self._spent, *generations])
         for start in range(0, len(keys), self.txn_ops):
             some = keys[start : start + self.txn_ops]
             self._chores.append(_Chore([state.remove(key) for key in some], "", ""))
