--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -206,9 +207,13 @@
     __slots__ = (
         "addr",
         "asked_gone",
+        "beat",
+        "beat_at",
         "cell",
         "cordoned",
         "cpus",
+        "deaf_beats",
+        "deaf_since",
         "delete_at",
         "draining",
         "errors",
@@ -226,6 +231,7 @@
         "listed_addr",
         "listed_at",
         "moves",
+        "mute",
         "name",
         "notice_at",
         "probe",
@@ -271,6 +277,16 @@
         self.strays: dict[tuple[str, int], bool] = {}
         self.images: OrderedDict[int, float] = OrderedDict()
         self.last_heard = 0.0
+        # The number of its newest report in this session, and when it came; answers to
+        # direct commands count in ``seq`` and ``last_heard`` as well.
+        self.beat = -1
+        self.beat_at = -math.inf
+        # Since when nothing shows that it hears what it is told (0: it does), and how many
+        # reports came meanwhile.
+        self.deaf_since = 0.0
+        self.deaf_beats = 0
+        # It may answer, but no report of it comes.
+        self.mute = False
         self.lease_until = 0.0
         self.listed_at: float | None = None
         self.listed_addr = ""
@@ -294,7 +310,8 @@
 
     def usable(self) -> bool:
         leaving = self.draining or self.cordoned or self.asked_gone
-        return self.status == UP and not (leaving or self.sick or self.foreign)
+        unsure = self.sick or self.mute or self.deaf_since
+        return self.status == UP and not (leaving or unsure or self.foreign)
 
     def steady(self) -> bool:
         """Nothing is to be told, whatever is on it stays until it says so itself."""
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -31,6 +31,7 @@
     Tables,
 )
 from appleshift.coordination.fleet.fleet import Fleet
+from appleshift.coordination.fleet.hearing import Hearing
 from appleshift.coordination.outgoing.effects import Delete, Effect, Reply
 from appleshift.coordination.outgoing.orders import REORDER_S, Orders
 from appleshift.coordination.pace import Pace
@@ -110,6 +111,7 @@
         self.express = Express()
         self._waiting: dict[int, Any] = {}
         self.is_stalled = False
+        self.hearing = Hearing(self)
         self.fleet = Fleet(self, replay.groups)
         self.requests = Requests(self)
         if sharing is not None:
@@ -331,36 +333,24 @@
         if machine is None or machine.foreign or report.session < machine.session:
             self.reply(slot, 503, users.error_body("machine not known here"))
             return
-        self._caught_up(machine)
-        self.observe(machine, report)
-        if slot is not None:
-            # The worker counts its lease from when it sent this report, which
-            # is earlier than now: this bound is on the safe side.
-            machine.lease_until = self.now + self.worker_lease_s
-            commands = self.orders.answer(machine)
-            token = self.token_for(machine)
-            answer = workers.answer(token, commands)
-            self.reply(slot, 200, answer)
-            newest = report.seq == machine.seq and report.token == token
-            if tasks is not None and newest and not commands and machine.steady():
-                same = (machine.session, token, tasks, encode(answer))
-                machine.cell = self.express.learn(machine.name, same)
-
-    def _caught_up(self, machine: Machine) -> None:
-        """Take in what reports that said nothing new have left."""
-        cell = machine.cell
-        if cell is None:
+        token = self.token_for(machine)
+        self.hearing.caught_up(machine)
+        if not self.hearing.reported(machine, report):
+            # A copy, or the original after its copy: the lease that its answer may renew
+            # was counted with the first one. Whoever renews it tells what has to end.
+            self.reply(slot, 200, workers.answer(token, self.orders.ends(machine)))
             return
-        at, session, seq = cell.heard
-        # Whatever else was heard meanwhile: the answer to a direct command is later,
-        # but renews no lease. When only later times counted, leases that had been
-        # renewed here were taken for over, and eight tasks ran twice on one day.
-        machine.lease_until = max(machine.lease_until, at + self.worker_lease_s)
-        if at > machine.last_heard:
-            machine.last_heard = at
-            machine.probe = 0
-        if session == machine.session:
-            machine.seq = max(machine.seq, seq)
+        self.observe(machine, report)
+        # The worker counts its lease from when it sent this report, which
+        # is earlier than now: this bound is on the safe side.
+        machine.lease_until = self.now + self.worker_lease_s
+        commands = self.orders.answer(machine)
+        answer = workers.answer(token, commands)
+        self.reply(slot, 200, answer)
+        newest = report.seq == machine.seq and report.token == token
+        if tasks is not None and newest and not commands and machine.steady():
+            same = (machine.session, token, tasks, encode(answer))
+            machine.cell = self.express.learn(machine.name, same, self.now, report.seq)
 
     def token_for(self, machine: Machine) -> int:
         """What its worker is told: never less than it was told in another share.
@@ -390,7 +380,6 @@
             return
         machine.seq = report.seq
         machine.last_heard = self.now
-        machine.probe = 0
         self.fleet.heard(machine, report)
         fenced = report.token >= self.token_for(machine)
         seen: set[tuple[str, int]] = set()
@@ -522,7 +511,7 @@
 
     def _tick(self) -> None:
         for machine in list(self.tables.machines.values()):
-            self._caught_up(machine)
+            self.hearing.caught_up(machine)
             # A node that slept for 23 s judged 600 leases in its first moment, for nobody.
             over = machine.runs and machine.lease_until < self.now and machine.session
             if over and self.authority.may_answer(self.now):
--- a/appleshift/coordination/fleet/fleet.py
+++ b/appleshift/coordination/fleet/fleet.py
@@ -121,7 +121,6 @@
 
     def heard(self, machine: Machine, report: Report) -> None:
         if machine.status == BOOTING or machine.addr != report.addr:
-            machine.probe = 0
             machine.status = UP
             machine.addr = report.addr
             machine.idle_since = self.core.now
--- a/appleshift/coordination/fleet/health.py
+++ b/appleshift/coordination/fleet/health.py
@@ -69,7 +69,7 @@
             if machine.status != UP or machine.asked_gone or machine.foreign:
                 continue
             up[machine.zone] = up.get(machine.zone, 0) + 1
-            if now - machine.last_heard <= new_s:
+            if now - machine.last_heard <= new_s and not machine.deaf_since:
                 # Nearly all of them, several times a second.
                 continue
             known = machine.last_heard >= self._started
@@ -119,8 +119,9 @@
                     self._core.effects.append(Inspect(machine.name, machine.addr))
 
     def _quiet_s(self, machine: Machine, now: float) -> float:
-        """For how long a machine could have been heard and was not."""
-        since = max(machine.last_heard, self._started, self._back.get(machine.zone, 0.0))
+        """For how long a machine could have been heard, or shown that it hears, and did not."""
+        sign = min(machine.deaf_since or machine.last_heard, machine.last_heard)
+        since = max(sign, self._started, self._back.get(machine.zone, 0.0))
         return now - since
 
     def counts(self, zone: int) -> bool:
@@ -196,7 +197,7 @@
         machine = self._tables.machine(name)
         if machine is not None:
             machine.probing = False
-            machine.probe = 0 if answered else machine.probe + 1
+            self._core.hearing.told(machine, answered)
 
     def task_failed(self, machine: Machine, job: Job) -> None:
         """Tell a faulty machine from a faulty job by who else failed where."""
--- /dev/null
+++ b/appleshift/coordination/fleet/hearing.py
@@ -0,0 +1,89 @@
+"""What reports prove of a machine: that it lives, and whether it hears what it is told.
+
+Copies of a report may come late, seconds to well over a lease, at any node, also when its
+machine is long gone. And a machine may be heard that hears nothing: it reports, no answer and
+no command reaches it, and when its lease is over it looks empty and well. So what a report
+says counts only if it is newer than all that is known (``Core.observe``), a lease is prolonged
+only by a report that is newer than every other *report*, and that a machine hears is shown
+by what it does after it was told something:
+
+- a report within the time a worker waits for an answer after the one before: it got one;
+- an answer to a direct command or question.
+
+A worker has one report under way at a time and drops an answer after 4 s, so nobody reads
+the answer to any but its newest report. Its lease counts from when that was sent, which is
+no later than when the first copy of it came. ``docs/design-hearing.md`` goes through every
+use of a report.
+"""
+
+from __future__ import annotations
+
+import math
+
+from appleshift.bookkeeping.tables import UP, Machine
+from appleshift.coordination.outgoing.effects import Inspect
+from appleshift.coordination.parts import Term
+from appleshift.protocol.workers import ANSWER_S, Report
+
+
+class Hearing:
+    """Part of the fleet; owned by the core's routine."""
+
+    def __init__(self, core: Term) -> None:
+        self._core = core
+        self._started = core.now
+        self._mute_s = core.settings.deployment.workers.lease_s / 2
+
+    def reported(self, machine: Machine, report: Report) -> bool:
+        """A report came; true if no copy of it, nor a newer one, was there before."""
+        if report.session == machine.session and report.seq <= machine.beat:
+            return False
+        now = self._core.now
+        if machine.beat_at > -math.inf:
+            hears = now - machine.beat_at < ANSWER_S
+        else:
+            # Those that a leader before us knew heard it. A new one shows it first.
+            hears = machine.status == UP
+        self._beat(machine, now, hears)
+        machine.beat = report.seq
+        machine.mute = False
+        if not hears and report.addr and not machine.probing:
+            machine.probing = True
+            self._core.effects.append(Inspect(machine.name, report.addr))
+        return True
+
+    @staticmethod
+    def _beat(machine: Machine, at: float, hears: bool) -> None:
+        machine.beat_at = at
+        if hears:
+            machine.deaf_since = machine.deaf_beats = machine.probe = 0
+            return
+        machine.deaf_beats += 1
+        if machine.deaf_beats == 1:
+            # What it did not answer while nothing came from it says nothing of now.
+            machine.deaf_since, machine.probe = at, 0
+
+    def caught_up(self, machine: Machine) -> None:
+        """Take in what reports that said nothing new have left."""
+        cell = machine.cell
+        if cell is not None:
+            at, session, seq, hears = cell.heard
+            # Whatever else was heard meanwhile: the answer to a direct command is later,
+            # but renews no lease. When only later times counted, leases that had been
+            # renewed here were taken for over, and eight tasks ran twice on one day.
+            machine.lease_until = max(machine.lease_until, at + self._core.worker_lease_s)
+            if at > machine.beat_at:
+                self._beat(machine, at, hears)
+                machine.last_heard = max(machine.last_heard, at)
+            if session == machine.session:
+                machine.seq, machine.beat = max(machine.seq, seq), max(machine.beat, seq)
+        # One whose reports are lost may answer, but its lease will be over.
+        machine.mute = self._core.now - max(machine.beat_at, self._started) > self._mute_s
+
+    def told(self, machine: Machine, reached: bool) -> None:
+        """A direct command or question was answered, or was not."""
+        if reached:
+            machine.deaf_since = machine.deaf_beats = machine.probe = 0
+        else:
+            machine.probe += 1
+            machine.deaf_since = machine.deaf_since or self._core.now
--- a/appleshift/coordination/outgoing/orders.py
+++ b/appleshift/coordination/outgoing/orders.py
@@ -42,6 +42,18 @@
         self._due.discard(machine.index)
         return self._commands(machine, again=True)[0]
 
+    @staticmethod
+    def ends(machine: Machine) -> list[dict[str, Any]]:
+        """Only what has to end, for an answer to a report that may be a copy: nobody may
+        read it, so nothing counts as told by it."""
+        ending = [
+            workers.stop(run.name, run.attempt, run.grace)
+            for run in machine.runs.values()
+            if run.grace is not None and run.state not in (ORDERED, EXITED)
+        ]
+        strays = [workers.stop(*key, 0.0) for key, exited in machine.strays.items() if not exited]
+        return (ending + strays)[:MAX_COMMANDS]
+
     def _commands(
         self, machine: Machine, again: bool
     ) -> tuple[list[dict[str, Any]], tuple[tuple[str, int], ...]]:
@@ -110,9 +122,8 @@
                 run.uncertain -= outcome != "unknown"
         if report is not None and report.machine == name and report.session >= machine.session:
             self._core.observe(machine, report)
-        if outcome == "unknown":
-            # As good as an unanswered probe.
-            machine.probe += 1
+        # As good as an unanswered probe, or an answered one.
+        self._core.hearing.told(machine, outcome != "unknown")
         if outcome != "done":
             machine.failed_until = max(machine.failed_until, self._core.now + REORDER_S)
 
--- a/appleshift/coordination/parts.py
+++ b/appleshift/coordination/parts.py
@@ -36,6 +36,12 @@
         ...
 
 
+class Hears(Protocol):
+    """What is known of which machines hear; see ``fleet/hearing.py``."""
+
+    def told(self, machine: Machine, reached: bool) -> None: ...
+
+
 class Term(Protocol):
     """The core of one term, as its parts see it."""
 
@@ -57,6 +63,9 @@
 
     def write(self, some: list[Record], then: Callable[[], None] | None = None) -> None: ...
 
+    @property
+    def hearing(self) -> Hears: ...
+
     def observe(self, machine: Machine, report: Report) -> None: ...
 
     def token_for(self, machine: Machine) -> int: ...
--- a/appleshift/intake/express.py
+++ b/appleshift/intake/express.py
@@ -19,20 +19,24 @@
 
 from __future__ import annotations
 
-from appleshift.protocol.workers import Glance
+from appleshift.protocol.workers import ANSWER_S, Glance
 
 
 class Cell:
-    """Of one machine. The core writes ``known``, connections ``heard``; each is one
-    object, so that nobody reads half of it."""
+    """Of one machine. The core writes ``known`` and ``before``, connections ``heard``; each
+    is one object, so that nobody reads half of it."""
 
-    __slots__ = ("heard", "known")
+    __slots__ = ("before", "heard", "known")
 
     def __init__(self) -> None:
         # (session, token, tasks as they were sent, answer); None: the core must see it.
         self.known: tuple[int, int, bytes, bytes] | None = None
-        # (time, session, number) of the last report that was answered here.
-        self.heard: tuple[float, int, int] = (0.0, 0, -1)
+        # (time, session, number) of the last report that was answered here, and whether it
+        # came so soon after the one before that the worker had the answer to that.
+        self.heard: tuple[float, int, int, bool] = (0.0, 0, -1, False)
+        # (time, session, number) of the last one that the core saw. Without it a copy of an
+        # older report passed for a new one here.
+        self.before: tuple[float, int, int] = (0.0, 0, -1)
 
 
 class Express:
@@ -41,11 +45,14 @@
     def __init__(self) -> None:
         self.cells: dict[str, Cell] = {}
 
-    def learn(self, machine: str, known: tuple[int, int, bytes, bytes]) -> Cell:
-        """A report like this needs no more than this answer."""
+    def learn(
+        self, machine: str, known: tuple[int, int, bytes, bytes], at: float, seq: int
+    ) -> Cell:
+        """A report like this one, of that time and number, needs no more than this answer."""
         cell = self.cells.get(machine)
         if cell is None:
             cell = self.cells[machine] = Cell()
+        cell.before = (at, known[0], seq)
         cell.known = known
         return cell
 
@@ -61,7 +68,9 @@
         session, token, tasks, answer = known
         if report.session != session or report.token != token:
             return None
-        if (report.session, report.seq) <= cell.heard[1:] or bytes(report.tasks) != tasks:
+        number = (report.session, report.seq)
+        last = max(cell.before[0], cell.heard[0])
+        if number <= max(cell.heard[1:3], cell.before[1:]) or bytes(report.tasks) != tasks:
             return None
-        cell.heard = (now, report.session, report.seq)
+        cell.heard = (now, *number, now - last < ANSWER_S)
         return answer
--- a/appleshift/protocol/workers.py
+++ b/appleshift/protocol/workers.py
@@ -14,6 +14,9 @@
 SAVING = "saving"
 EXITED = "exited"
 
+ANSWER_S = 4.0
+"""So long does a worker wait for the answer to a report; then it tries the next node."""
+
 Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
