--- a/appleshift/coordination/desk.py
+++ b/appleshift/coordination/desk.py
@@ -543,4 +543,4 @@
             return respond(400, users.error_body(error.reason))
         holding = self._holdings.get(request.share)
         given = holding is not None and holding.election.pledge(request)
-        return respond(200 if given else 409, {"given": given})
+        return respond(200 if given else 409, peers.Pledged(given, self._first.election.process))
--- a/appleshift/coordination/leading/election.py
+++ b/appleshift/coordination/leading/election.py
@@ -388,6 +388,7 @@
     def told(self, sibling: str, hello: peers.Hello, held: peers.Held | None) -> None:
         """A sibling says what it holds, of this share (None: it does not)."""
         now = self._now()
+        self.leadership.heard(sibling, hello.process, now)
         self._heard[sibling] = (
             now,
             held is not None and held.entitled,
@@ -419,9 +420,10 @@
             while self._trouble.is_set() and self.leadership.leading:
                 sent = self._now()
                 seq += 1
-                if self._ask(client, seq, self.operator.pledge_s):
+                process = self._ask(client, seq, self.operator.pledge_s)
+                if process is not None:
                     asked = True
-                    self.leadership.pledged_by(sibling, sent, self._now())
+                    self.leadership.pledged_by(sibling, sent, self._now(), process)
                 self._stop.wait(PLEDGE_GAP_S)
             if asked:
                 # First stop counting on the promise, then give it back.
@@ -429,12 +431,13 @@
                 seq += 1
                 self._ask(client, seq, 0.0)
 
-    def _ask(self, client: Caller, seq: int, for_s: float) -> bool:
+    def _ask(self, client: Caller, seq: int, for_s: float) -> str | None:
+        """Ask for a promise; which process gave it, None: none did."""
         token = self.leadership.token
         request = peers.PledgeRequest(self.name, token, seq, for_s, self.share, self.process)
         try:
-            status, _ = client.request("POST", peers.PLEDGE_PATH, encode(request), 1.0)
-        except ClientError as error:
+            status, body = client.request("POST", peers.PLEDGE_PATH, encode(request), 1.0)
+            return peers.decode_pledged(body).process if status == 200 else None
+        except (ClientError, ProtocolError) as error:
             log.debug("pledge: %s", error)
-            return False
-        return status == 200
+            return None
--- a/appleshift/coordination/leading/leadership.py
+++ b/appleshift/coordination/leading/leadership.py
@@ -11,6 +11,14 @@
 A sibling that restarts has forgotten its promise and waits it out, unless all
 its siblings tell it that none of them leads.
 
+When the leader's time ran out before it had all promises, somebody may have been
+elected meanwhile, but only a sibling may: who was elected with a newer token refuses
+a promise for an older one for as long as its process lives. So if every sibling
+promises, each by the very process that the leader heard while it was still entitled,
+nobody was elected in between, and the leader may go on. Without that, a state service
+that refused the leader for a second and a half and then everybody left nobody entitled
+for the whole outage, and all work on all machines ended with the workers' leases.
+
 A promise is given to a process, not to a node. Once a later process of that node
 has answered, the one that asked has ended: its port is taken before anything else
 is done. What it was promised binds nobody any more, and a request of its that was
@@ -54,6 +62,8 @@
         self._unsettled = False
         self._lease_until = 0.0
         self._granted: dict[str, float] = {}
+        # The siblings' processes, as they were heard while this node was entitled.
+        self._heard: dict[str, str] = {}
         self._pledge_until = 0.0
         self.leading = False
         self.token = 0
@@ -100,6 +110,7 @@
             self.leading = True
             self.token = self.seen_token = token
             self._granted.clear()
+            self._heard.clear()
             self._pledge_until = 0.0
             self._lease_until = lease_sent + ttl_s / DRIFT - MARGIN_S
 
@@ -115,11 +126,18 @@
 
     # -- pledges --------------------------------------------------------------------
 
-    def pledged_by(self, sibling: str, sent: float, now: float) -> None:
-        """A sibling promised; its time runs from when it got the request."""
+    def heard(self, sibling: str, process: str, now: float) -> None:
+        """That process of a sibling said something; it counts if we were entitled by then."""
+        with self._lock:
+            if process and self.may_answer(now):
+                self._heard[sibling] = process
+
+    def pledged_by(self, sibling: str, sent: float, now: float, process: str = "") -> None:
+        """A sibling's process promised; its time runs from when it got the request."""
         with self._lock:
-            if not self.may_answer(now):
-                # The chain is broken: somebody may have been elected before.
+            same = bool(process) and self._heard.get(sibling) == process
+            if not self.leading or not (same or self.may_answer(now)):
+                # The chain is broken: an earlier process of it may have been elected.
                 return
             self._granted[sibling] = sent + self._pledge_s / DRIFT - MARGIN_S
             if self._granted.keys() >= set(self._siblings):
--- a/appleshift/protocol/peers.py
+++ b/appleshift/protocol/peers.py
@@ -27,6 +27,14 @@
     within a moment must not be bound, nor bind others, by what the earlier one sent."""
 
 
+class Pledged(msgspec.Struct, frozen=True):
+    """The answer to it."""
+
+    given: bool
+    process: str = ""
+    """Which process of that node answers; of an older version: empty."""
+
+
 class Held(msgspec.Struct, frozen=True):
     """A share that a node holds."""
 
@@ -102,6 +110,7 @@
 _reach = msgspec.msgpack.Decoder(ReachRequest)
 _reached = msgspec.msgpack.Decoder(Reach)
 _pledge = msgspec.msgpack.Decoder(PledgeRequest)
+_pledged = msgspec.msgpack.Decoder(Pledged)
 _hello = msgspec.msgpack.Decoder(Hello)
 _reports = msgspec.msgpack.Decoder(ReportBatch)
 _answers = msgspec.msgpack.Decoder(ReportAnswers)
@@ -111,6 +120,10 @@
     return decode_as(_pledge, body)
 
 
+def decode_pledged(body: bytes) -> Pledged:
+    return decode_as(_pledged, body)
+
+
 def decode_hello(body: bytes) -> Hello:
     return decode_as(_hello, body)
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -47,6 +47,9 @@
         self._writes = write_rps
         self._writes_at = 0.0
         self.refused_writes = 0
+        # This share of transactions gets no answer and is carried out later.
+        self.late_share = 0.0
+        self.carried_out_late: Counter[int] = Counter()
 
     def handle(self, caller: str, method: str, target: str, body: Any, reply: Reply) -> None:
         self.asked[caller] += 1
@@ -59,8 +62,17 @@
         if url.path == "/changes":
             self._watch(query, reply)
             return
+        if url.path == "/txn" and self.late_share and self.clock.rng.random() < self.late_share:
+            self.clock.after(self.clock.rng.uniform(2.0, 12.0), lambda: self._late(body))
+            return
         reply(*self._answer(method, url.path, query, body))
 
+    def _late(self, body: Any) -> None:
+        """Nobody waits for it any more. Whether it is carried out, its guards say."""
+        if not self.out:
+            self._expire()
+            self.carried_out_late[self._txn(body)[0]] += 1
+
     def _answer(self, method: str, path: str, query: dict[str, str], body: Any) -> Answer:
         if path == "/kv":
             return self._list(query)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -78,3 +78,37 @@
     node.sibling_cleared("c")
     assert node.begin_standing(55.0)
     assert Leadership(["a", "c"], P, 50.0).begin_standing(56.2)
+
+
+def resumed(c_heard: str, c_promises: str) -> bool:
+    """B promises in time and C only after the lease ended; may the leader go on?"""
+    node = leader()
+    node.heard("b", "b1", 1.0)
+    node.heard("c", c_heard, 1.0)
+    node.pledged_by("b", 1.0, 1.1, "b1")
+    node.pledged_by("c", 2.4, 2.5, c_promises)
+    return node.may_answer(2.6)
+
+
+def test_a_broken_chain_is_whole_again_if_all_processes_are_those_heard_before() -> None:
+    assert resumed("c1", "c1")
+    assert not resumed("c1", "c2"), "an earlier process of it may have been elected"
+    assert not resumed("", ""), "an older version does not say"
+    node = leader()
+    node.heard("b", "b1", 1.0)
+    node.heard("c", "c1", 2.1)
+    node.pledged_by("b", 2.2, 2.3, "b1")
+    node.pledged_by("c", 2.2, 2.3, "c1")
+    assert not node.may_answer(2.4), "C was heard when the lease was over"
+    node.lost()
+    node.pledged_by("b", 2.5, 2.6, "b1")
+    assert not node.may_answer(2.7)
+
+
+def test_a_sibling_that_was_elected_since_promises_nothing_for_the_older_token() -> None:
+    sibling = Leadership(["a", "c"], P, -100.0)
+    assert sibling.begin_standing(0.0)
+    sibling.won(4, 0.0, TTL)
+    assert not sibling.give_pledge("a", 3, 1, P, 0.5)
+    sibling.lost()
+    assert not sibling.give_pledge("a", 3, 2, P, 5.0)
