--- a/appleshift/reach/duty.py
+++ b/appleshift/reach/duty.py
@@ -62,7 +62,7 @@
 
     def heard(self) -> None:
         """A worker's report came to this node's own door."""
-        self.sight.heard(self._routines.now())
+        self.sight.reported(self._routines.now())
 
     def word(self, now: float) -> peers.Sees:
         seen = self.sight.seen(now)
--- a/appleshift/reach/sight.py
+++ b/appleshift/reach/sight.py
@@ -19,6 +19,8 @@
 QUIET_S = 0.8
 """Without a contact for this long, workers are asked one after the other. The leader of a
 dozen machines hears several reports a second; a sample's answers take milliseconds."""
+FLOW = 3
+"""While workers do not answer, so many reports within that time say that they reach this node."""
 MISSES = 3
 """So many workers in a row, two of them different if there are two, are no accident."""
 ASK_S = 0.6
@@ -52,6 +54,8 @@
         # Who did not answer since the last contact, and when the first was asked.
         self._missed: tuple[str, ...] = ()
         self._missing_since = float("inf")
+        # When the last reports came while workers did not answer.
+        self._reports: tuple[float, ...] = ()
         self._turn = 0
 
     def offer(self, addresses: Iterable[str]) -> None:
@@ -65,8 +69,18 @@
         """There are no workers: nothing is missed, and nobody waits for their answers."""
         self.sample = self._missed = ()
 
+    def reported(self, now: float) -> None:
+        """A worker's report came in. Once workers do not answer, single ones prove nothing:
+        they may have been held up since before the cut, or be copies. One every few seconds
+        once kept a leader that no worker reached for longer than the workers' leases."""
+        if self._missed:
+            times = self._reports = (*self._reports[1 - FLOW :], now)
+            if len(times) < FLOW or now - times[0] > QUIET_S:
+                return
+        self.heard(now)
+
     def heard(self, now: float) -> None:
-        """A worker reported here, or answered."""
+        """A worker answered, or reports flow."""
         if self._contact is None or now - self._contact > QUIET_S + IDLE_ASK_S + ASK_S:
             self._steady_since = now
         self._contact = now
--- a/days/play.py
+++ b/days/play.py
@@ -40,6 +40,7 @@
     report = place / "report.json"
     command = [bench, "run", str(site), day, "--log", "info", "--report", str(report)]
     command += ["--seed", str(options.seed)] if options.seed is not None else []
+    command += ["--no-cpu"] if options.no_cpu else []
     ran = subprocess.run(command, cwd=HERE.parent, capture_output=True, text=True, check=False)
     (place / "output.txt").write_text(ran.stdout + ran.stderr)
     try:
@@ -62,6 +63,7 @@
         "--restart", type=float, default=0.2, metavar="S", help="restarts on those (0.2 s)"
     )
     parser.add_argument("--seed", type=int, metavar="N", help="other luck than the days' own")
+    parser.add_argument("--no-cpu", action="store_true", help="charge no processor time")
     parser.add_argument("--jobs", type=int, default=4, metavar="N", help="days at once (4)")
     parser.add_argument("--folder", type=Path, help="where reports and logs are left")
     parser.add_argument("--csv", type=Path, metavar="FILE", help="the rows, for later")
