--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -57,6 +57,13 @@
     assert len(day_for(everyone, SITE)["faults"]) == 2
     with pytest.raises(ValueError, match="neither a number"):
         day_for({"faults": [{"at_s": 1.0, "kind": "machine_die", "count": "some"}]}, SITE)
+    burst = {"at_s": 1.0, "kind": "job_burst", "class": "third"}
+    with pytest.raises(ValueError, match="the site has no class third"):
+        day_for({"faults": [burst]}, SITE)
+    with pytest.raises(ValueError, match="the site has no class third"):
+        day_for({"faults": [], "jobs": [{"name": "third", "cancelled": 0.5}]}, SITE)
+    changed = day_for({"faults": [], "jobs": [{"name": "#9", "cancelled": 0.5}]}, SITE)
+    assert changed["jobs"] == [{"name": "second", "cancelled": 0.5}]
     with pytest.raises(ValueError, match="no such day: nowhere"):
         own_days(["nowhere"])
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -12,6 +12,7 @@
 from appleshift.bookkeeping.tables import Machine
 from appleshift.coordination.fleet.hearing import Hearing
 from appleshift.coordination.outgoing.effects import Delete, Inspect, Reply
+from appleshift.coordination.outgoing.orders import Orders
 from appleshift.protocol.workers import Report, TaskReport
 from tests.chaos import heal, late_reports, late_writes, lonely_leader
 from tests.make import machine as machine_of
@@ -237,6 +238,21 @@
         world.close()
 
 
+def test_forgetting_that_a_start_may_still_come_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Planted: a start without an answer counts as one that was refused, so that its exit is
+    cleared, and the start, carried out late, finds nothing of it and starts it again."""
+    whole = Orders.pushed
+
+    def pushed(
+        self: Orders, name: str, session: int, starts: Any, outcome: str, report: Report | None
+    ) -> None:
+        whole(self, name, session, starts, outcome.replace("unknown", "refused"), report)
+
+    monkeypatch.setattr(Orders, "pushed", pushed)
+    with pytest.raises(AssertionError, match=r"renewed_unknowing|ran_"):
+        test_a_command_carried_out_late_starts_nothing_that_was_cancelled(8403)
+
+
 # -- 6: a leader that ends while machines with long tasks are deaf or out of reach ----------------
 
 
