--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -11,9 +11,8 @@
 from appleshift.reach.others import Others, Word
 from appleshift.reach.sight import Seen, Sight
 from tests.chaos import heal, unleash
+from tests.meetings import entitled, unfinished, watch
 from tests.sites import LARGE, SMALL, Site
-from tests.test_restarts import entitled, watch
-from tests.test_world import unfinished
 from tests.world import World
 
 STATE = "10.2.0.1:2379"
