--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -277,9 +277,9 @@
         self.strays: dict[tuple[str, int], bool] = {}
         self.images: OrderedDict[int, float] = OrderedDict()
         self.last_heard = 0.0
-        # The number of its newest report in this session, and when it came; answers to
-        # direct commands count in ``seq`` and ``last_heard`` as well.
-        self.beat = -1
+        # Session and number of its newest report, and when it came; answers to direct
+        # commands count in ``seq`` and ``last_heard`` as well.
+        self.beat = (0, -1)
         self.beat_at = -math.inf
         # Since when nothing shows that it hears what it is told (0: it does), and how many
         # reports came meanwhile.
--- a/appleshift/coordination/fleet/hearing.py
+++ b/appleshift/coordination/fleet/hearing.py
@@ -36,7 +36,10 @@
 
     def reported(self, machine: Machine, report: Report) -> bool:
         """A report came; true if no copy of it, nor a newer one, was there before."""
-        if report.session == machine.session and report.seq <= machine.beat:
+        # With its session: an answer to a question may have told of a new one before, in
+        # which numbers begin anew. What was renewed there once counted as copies.
+        number = (report.session, report.seq)
+        if number <= machine.beat:
             return False
         now = self._core.now
         if machine.beat_at > -math.inf:
@@ -45,7 +48,7 @@
             # Those that a leader before us knew heard it. A new one shows it first.
             hears = machine.status == UP
         self._beat(machine, now, hears)
-        machine.beat = report.seq
+        machine.beat = number
         machine.mute = False
         if not hears and report.addr and not machine.probing:
             machine.probing = True
@@ -76,7 +79,8 @@
                 self._beat(machine, at, hears)
                 machine.last_heard = max(machine.last_heard, at)
             if session == machine.session:
-                machine.seq, machine.beat = max(machine.seq, seq), max(machine.beat, seq)
+                machine.seq = max(machine.seq, seq)
+            machine.beat = max(machine.beat, (session, seq))
         # One whose reports are lost may answer, but its lease will be over.
         machine.mute = self._core.now - max(machine.beat_at, self._started) > self._mute_s
 
