--- /dev/null
+++ b/appleshift/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes HTTP requests of users, workers, peers and operators."""
--- /dev/null
+++ b/appleshift/coordination/routing/context.py
@@ -0,0 +1,130 @@
+"""What the endpoints of a node share: its replicas, its siblings and the way to the core."""
+
+from __future__ import annotations
+
+import queue
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from appleshift.coordination import events
+from appleshift.coordination.leading.election import Election
+from appleshift.coordination.leading.leadership import Leadership
+from appleshift.protocol import users, workers
+from appleshift.protocol.wire import encode
+from appleshift.transport.client import Caller
+from appleshift.transport.routines import Routines
+from appleshift.transport.server import Response
+
+ANSWER_S = 4.0
+"""Users wait 5 s for most answers, workers 4 s; later ones help nobody."""
+MOST_LOAD: dict[type[events.Request], float] = {
+    events.Beat: 2.0,
+    events.ShareAsk: 2.0,
+    events.Cancel: 1.5,
+    events.Submit: 1.0,
+    events.Status: 0.75,
+    events.SeatsLook: 0.5,
+}
+"""Up to which length of the core's queue, measured in what a node should keep
+waiting, a kind of request is put in it. What waits is answered late, and what
+leases depend on comes first."""
+
+
+def respond(status: int, body: Any, retry_after: int = 0) -> Response:
+    headers = {"Retry-After": str(retry_after)} if retry_after else {}
+    return Response(status, encode(body), headers)
+
+
+def unavailable() -> Response:
+    return respond(503, users.error_body("not available right now"), 1)
+
+
+def refuse_method(method: str, allowed: str) -> Response | None:
+    """The answer to a request by another method than the allowed one; None: it is allowed."""
+    if method == allowed or (method == "HEAD" and allowed == "GET"):
+        return None
+    response = respond(405, users.error_body(f"use {allowed}"))
+    response.headers["Allow"] = allowed
+    return response
+
+
+class ShareReplica(Protocol):
+    """A share, as this node stands to it."""
+
+    @property
+    def election(self) -> Election: ...
+
+    @property
+    def leadership(self) -> Leadership: ...
+
+    def knows(self, machine: str) -> bool:
+        """Has its core that machine?"""
+        ...
+
+    def unchanged(self, report: workers.Glance, now: float) -> bytes | None:
+        """The answer to a report that says nothing new; None: the core must see it."""
+        ...
+
+    def view(self) -> dict[str, Any]:
+        """For operators: what its core has, if it is held here."""
+        ...
+
+
+class ShareMapView(Protocol):
+    """Which share has what, where there are several."""
+
+    def homes(self, job_id: str) -> list[int]:
+        """Where a job of that id may be known; a new one belongs to the first."""
+        ...
+
+    def machine(self, name: str, kind: str) -> int: ...
+
+    @property
+    def version(self) -> int: ...
+
+    @property
+    def takers(self) -> list[int]:
+        """Shares that take users' submissions."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingContext:
+    """Read by all connections' routines; nothing in it is replaced."""
+
+    replicas: Mapping[int, ShareReplica]
+    siblings: dict[str, Caller]
+    post: Callable[[events.Event], None]
+    """Hands an event to the core's routine."""
+    load: Callable[[], float]
+    """Length of the core's queue, in what a node should keep waiting."""
+    routines: Routines
+    share_map: Callable[[], ShareMapView | None] = lambda: None
+
+    @property
+    def first(self) -> ShareReplica:
+        """The first share, whose holder is the leader."""
+        return self.replicas[0]
+
+    def entitled(self, replica: ShareReplica) -> bool:
+        return replica.leadership.may_answer(self.routines.now())
+
+    def elsewhere(self, replica: ShareReplica) -> bool:
+        """Only its holder answers for a share. One whose lease lapsed sends users on to
+        its successor; while there is none, its core still knows what is final."""
+        if not replica.leadership.leading:
+            return True
+        holder = replica.election.current_leader()
+        return not self.entitled(replica) and holder not in (None, replica.election.name)
+
+    def ask(self, event: events.Request) -> Response:
+        """Put a request to the core and wait for its answer."""
+        if self.load() > MOST_LOAD[type(event)]:
+            return unavailable()
+        self.post(event)
+        try:
+            status, body, retry_after = event.slot.get(timeout=ANSWER_S)
+        except queue.Empty:
+            return unavailable()
+        return respond(status, body, retry_after)
--- /dev/null
+++ b/appleshift/coordination/routing/forwarding.py
@@ -0,0 +1,57 @@
+"""Sends users' requests on to the node that holds the share they are about."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from appleshift.coordination.routing.context import RoutingContext, ShareReplica, unavailable
+from appleshift.transport.client import ClientError
+from appleshift.transport.server import Request, Response
+
+log = logging.getLogger(__name__)
+
+FORWARD_S = 1.8
+"""How long a sibling may take to answer what was sent on to it."""
+HOLD_S = 0.4
+"""How long a query waits for an election to end."""
+
+
+class Forwarder:
+    """``route`` answers a request here, as if a sibling had sent it."""
+
+    def __init__(self, context: RoutingContext, route: Callable[[Request], Response]) -> None:
+        self._context = context
+        self._route = route
+
+    def forward(
+        self, replica: ShareReplica, request: Request, forwarded: bool, hold: bool
+    ) -> Response:
+        """Only a share's holder answers users, so that nobody gets an older answer."""
+        if forwarded:
+            # The sender's idea of the leader is out of date; it asks again.
+            return unavailable()
+        context = self._context
+        until = context.routines.now() + HOLD_S
+        while True:
+            leader = replica.election.current_leader()
+            if leader == replica.election.name and context.entitled(replica):
+                return self._route(request)
+            client = context.siblings.get(leader) if leader else None
+            if client is not None:
+                break
+            # A query may wait a moment for an election to end. A submission
+            # is answered at once: its user is better off asking again.
+            if not hold or context.routines.now() >= until:
+                return unavailable()
+            context.routines.sleep(0.05)
+        try:
+            body = request.body if request.method == "POST" else None
+            status, answer, retry = client.request_full(
+                request.method, request.path, body, FORWARD_S
+            )
+        except ClientError as error:
+            log.debug("forwarding: %s", error)
+            return unavailable()
+        headers = {"Retry-After": retry} if retry else {}
+        return Response(status, answer, headers)
--- /dev/null
+++ b/appleshift/coordination/routing/peer_endpoints.py
@@ -0,0 +1,61 @@
+"""Peers' requests: votes for a leader, heartbeats, reachability, calls between shares."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from appleshift.coordination import events
+from appleshift.coordination.routing.context import RoutingContext, respond, unavailable
+from appleshift.protocol import peers, shares, users
+from appleshift.protocol.wire import ProtocolError
+from appleshift.transport.server import Response
+
+
+class PeerEndpoints:
+    """``reaches``: does a worker's address answer this node? ``hello`` makes its heartbeat."""
+
+    def __init__(
+        self,
+        context: RoutingContext,
+        reaches: Callable[[str], bool],
+        hello: Callable[[], peers.Hello | None],
+    ) -> None:
+        self._context = context
+        self._reaches = reaches
+        self._hello = hello
+
+    def heartbeat(self) -> Response:
+        return respond(200, self._hello())
+
+    def vote(self, body: bytes) -> Response:
+        try:
+            request = peers.decode_pledge(body)
+        except ProtocolError as error:
+            return respond(400, users.error_body(error.reason))
+        replica = self._context.replicas.get(request.share)
+        given = replica is not None and replica.election.pledge(request)
+        return respond(
+            200 if given else 409, peers.Pledged(given, self._context.first.election.process)
+        )
+
+    def reach(self, body: bytes) -> Response:
+        """Do some of these workers answer this node, and could it be elected?"""
+        try:
+            request = peers.decode_reach(body)
+        except ProtocolError as error:
+            return respond(400, users.error_body(error.reason))
+        reached = any(self._reaches(addr) for addr in request.addresses)
+        return respond(200, peers.Reach(reached and self._context.first.election.state_answers()))
+
+    def share_call(self, body: bytes) -> Response:
+        """The holder of another share asks this one's."""
+        try:
+            call = shares.decode_call(body)
+        except ProtocolError as error:
+            return respond(error.status, users.error_body(error.reason))
+        replica = self._context.replicas.get(call.to)
+        if replica is None or self._context.elsewhere(replica):
+            return unavailable()
+        return self._context.ask(
+            events.ShareAsk(call.to, self._context.routines.mailbox(), call.message)
+        )
--- /dev/null
+++ b/appleshift/coordination/routing/user_endpoints.py
@@ -0,0 +1,124 @@
+"""Users' requests: submissions, queries and cancellations, sent to the share they are about."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from urllib.parse import parse_qs, urlsplit
+
+from appleshift.coordination import events
+from appleshift.coordination.routing.context import RoutingContext, respond, unavailable
+from appleshift.coordination.routing.forwarding import Forwarder
+from appleshift.protocol import users
+from appleshift.protocol.wire import ProtocolError, decode
+from appleshift.transport.server import Request, Response
+
+JOBS = "/submissions"
+
+MakeEvent = Callable[[int, bool, int], events.Request]
+"""Makes the event for a share; whether another share says that it decides, and the
+version of the map that led there."""
+
+
+def _number(query: dict[str, list[str]], name: str) -> int:
+    text = query.get(name, ["0"])[0]
+    return int(text) if text.isdecimal() and len(text) < 20 else -1
+
+
+class UserEndpoints:
+    """``forwarded``: a sibling sent the request on; it names the share that it asks."""
+
+    def __init__(self, context: RoutingContext, forwarder: Forwarder) -> None:
+        self._context = context
+        self._forwarder = forwarder
+
+    def submit(self, request: Request, forwarded: bool) -> Response:
+        spec = users.decode_submission(request.body)
+
+        def event(share: int, homed: bool, version: int) -> events.Submit:
+            return events.Submit(share, self._context.routines.mailbox(), spec, homed)
+
+        known = self._context.share_map()
+        if forwarded or known is None:
+            return self._ask_named_share(request, event, forwarded, hold=False)
+        first, *formers = known.homes(spec.id)
+        for share in formers:
+            # From before the shares were divided anew: known there, or to nobody.
+            look = Request("GET", f"{JOBS}/{spec.id}", b"")
+            told = self._ask_share(share, look, self._status_event(spec.id), hold=False)
+            if told.status == 421:
+                return self._follow(told, request, event, hold=False)
+            if told.status == 200:
+                first = share
+                break
+            if told.status != 404:
+                return unavailable()
+        told = self._ask_share(first, request, event, hold=False)
+        return self._follow(told, request, event, hold=False)
+
+    def status(self, job_id: str, request: Request, forwarded: bool) -> Response:
+        return self._job(self._status_event(job_id), job_id, request, forwarded, hold=True)
+
+    def cancel(self, job_id: str, request: Request, forwarded: bool) -> Response:
+        return self._job(self._cancel_event(job_id), job_id, request, forwarded, hold=False)
+
+    def _status_event(self, job_id: str) -> MakeEvent:
+        return lambda *by: events.Status(by[0], self._context.routines.mailbox(), job_id, *by[1:])
+
+    def _cancel_event(self, job_id: str) -> MakeEvent:
+        return lambda *by: events.Cancel(by[0], self._context.routines.mailbox(), job_id, *by[1:])
+
+    def _job(
+        self, event: MakeEvent, job_id: str, request: Request, forwarded: bool, hold: bool
+    ) -> Response:
+        if not users.valid_id(job_id):
+            # Users also ask about jobs that nobody can have submitted.
+            return respond(404, users.error_body("no such job"))
+        known = self._context.share_map()
+        if forwarded or known is None:
+            return self._ask_named_share(request, event, forwarded, hold)
+        for share in known.homes(job_id):
+            told = self._follow(self._ask_share(share, request, event, hold), request, event, hold)
+            if told.status != 404:
+                break
+        return told
+
+    def _ask_named_share(
+        self, request: Request, event: MakeEvent, forwarded: bool, hold: bool
+    ) -> Response:
+        """A sibling names the share that it asks; without a map there is one."""
+        query = parse_qs(urlsplit(request.path).query)
+        share, version = _number(query, "share"), _number(query, "map")
+        replica = self._context.replicas.get(share)
+        if replica is None:
+            return unavailable()
+        if not self._context.elsewhere(replica):
+            return self._context.ask(event(share, "homed" in query, version))
+        return self._forwarder.forward(replica, request, forwarded, hold)
+
+    def _ask_share(
+        self, share: int, request: Request, event: MakeEvent, hold: bool, homed: bool = False
+    ) -> Response:
+        """What a share's holder answers, here or at a sibling."""
+        replica = self._context.replicas.get(share)
+        known = self._context.share_map()
+        version = 0 if known is None else known.version
+        if replica is None:
+            return unavailable()
+        if not self._context.elsewhere(replica):
+            return self._context.ask(event(share, homed, version))
+        query = f"?share={share}&map={version}" + ("&homed=1" if homed else "")
+        path = urlsplit(request.path).path + query
+        return self._forwarder.forward(
+            replica, Request(request.method, path, request.body), False, hold
+        )
+
+    def _follow(self, told: Response, request: Request, event: MakeEvent, hold: bool) -> Response:
+        """The share that an id leads to may name another, which decides for the job."""
+        if told.status != 421:
+            return told
+        try:
+            share = decode(told.body)["share"]
+        except (ProtocolError, KeyError, TypeError):
+            return unavailable()
+        told = self._ask_share(share, request, event, hold, homed=True)
+        return unavailable() if told.status == 421 else told
--- /dev/null
+++ b/appleshift/coordination/routing/worker_endpoints.py
@@ -0,0 +1,158 @@
+"""Workers' reports: answered here, passed on to the leader, or sent to another node."""
+
+from __future__ import annotations
+
+import queue
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from appleshift.coordination import events
+from appleshift.coordination.routing.context import (
+    MOST_LOAD,
+    RoutingContext,
+    ShareReplica,
+    respond,
+    unavailable,
+)
+from appleshift.intake import routes
+from appleshift.intake.relay import Relay
+from appleshift.protocol import peers, users, workers
+from appleshift.protocol.wire import ProtocolError, decode
+from appleshift.transport.server import Response
+
+RELAYED_S = 2.5
+"""A relay waits 3 s for a batch's answers, its workers 4 s."""
+
+
+class WorkerEndpoints:
+    """``crowded``: are the connections nearly used up? ``heard`` is told of each report."""
+
+    def __init__(
+        self, context: RoutingContext, crowded: Callable[[], bool], heard: Callable[[], None]
+    ) -> None:
+        self._context = context
+        self._crowded = crowded
+        self._heard = heard
+        self._relay = Relay(context.siblings, context.routines)
+
+    def stop(self) -> None:
+        self._relay.stop()
+
+    def report(self, body: bytes) -> Response:
+        self._heard()
+        glance = workers.glance(body)
+        answer = self._unchanged(glance)
+        if answer is not None:
+            return self._closing(Response(200, answer))
+        # A malformed report is refused by every node alike.
+        report, tasks = workers.decode_report(body), bytes(glance.tasks)
+        known = self._context.share_map()
+        if known is not None:
+            share = known.machine(report.machine, report.type)
+            return self._closing(self._report_to_share(report, tasks, share))
+        election = self._context.first.election
+        here = election.name
+        away = election.sent_away()
+        relay = routes.place(report.machine, away, election.relays()) if away else None
+        if not self._context.elsewhere(self._context.first):
+            if relay is not None and relay != here:
+                return respond(421, workers.redirect(relay))
+            return self._context.ask(
+                events.Beat(0, self._context.routines.mailbox(), report, tasks)
+            )
+        leader = election.current_leader()
+        if relay == here and leader is not None and leader != here:
+            status, answer = self._relay.pass_on(leader, body)
+            return Response(status, answer)
+        to = relay or leader
+        return respond(421, workers.redirect(None if to == here else to))
+
+    def _unchanged(self, glance: workers.Glance) -> bytes | None:
+        """The answer to a report that says nothing new, if it has come to the right node."""
+        election = self._context.first.election
+        away = election.sent_away() if self._context.share_map() is None else 0.0
+        if away and routes.place(glance.machine, away, election.relays()):
+            return None
+        now = self._context.routines.now()
+        for replica in [*self._context.replicas.values()]:
+            answer = replica.unchanged(glance, now)
+            if answer is not None:
+                return answer
+        return None
+
+    def _closing(self, response: Response) -> Response:
+        if self._context.share_map() is not None and self._crowded():
+            # Others find a place meanwhile: its next report opens another connection.
+            response.headers["Connection"] = "close"
+        return response
+
+    def _report_to_share(self, report: workers.Report, tasks: bytes, share: int) -> Response:
+        """A machine reports to the holder of its share, and to nobody else."""
+        replica = self._context.replicas.get(share)
+        if replica is None or self._context.elsewhere(replica):
+            # Perhaps it was handed on to a share that is held here.
+            for number, other in [*self._context.replicas.items()]:
+                if other.knows(report.machine) and not self._context.elsewhere(other):
+                    share, replica = number, other
+                    break
+        response = self._report_to_holder(replica, share, report, tasks)
+        if response.status == 421 and (told := decode(response.body)).get("share") is not None:
+            # It was handed on: its share's holder says where to.
+            share = told["share"]
+            response = self._report_to_holder(
+                self._context.replicas.get(share), share, report, tasks
+            )
+        return response
+
+    def _report_to_holder(
+        self, replica: ShareReplica | None, share: int, report: workers.Report, tasks: bytes
+    ) -> Response:
+        if replica is None:
+            return unavailable()
+        if not self._context.elsewhere(replica):
+            return self._context.ask(
+                events.Beat(share, self._context.routines.mailbox(), report, tasks)
+            )
+        holder, here = replica.election.current_leader(), replica.election.name
+        return respond(421, workers.redirect(None if holder == here else holder))
+
+    def relayed_reports(self, body: bytes) -> Response:
+        """What a relay has gathered: each report is answered as if it had come here."""
+        try:
+            batch = peers.decode_reports(body)
+        except ProtocolError as error:
+            return respond(error.status, users.error_body(error.reason))
+        waiting: list[tuple[Response | None, Any]] = []
+        for raw in batch.reports:
+            slot = self._context.routines.mailbox()
+            if (
+                self._context.elsewhere(self._context.first)
+                or self._context.load() > MOST_LOAD[events.Beat]
+            ):
+                waiting.append((unavailable(), slot))
+                continue
+            try:
+                glance = workers.glance(bytes(raw))
+                answer = self._context.first.unchanged(glance, self._context.routines.now())
+                if answer is not None:
+                    waiting.append((Response(200, answer), slot))
+                    continue
+                report = workers.decode_report(bytes(raw))
+                self._context.post(events.Beat(0, slot, report, bytes(glance.tasks)))
+                waiting.append((None, slot))
+            except ProtocolError as error:
+                waiting.append((respond(error.status, users.error_body(error.reason)), slot))
+        until = self._context.routines.now() + RELAYED_S
+        answers = []
+        for response, slot in waiting:
+            if response is None:
+                try:
+                    left = max(0.0, until - self._context.routines.now())
+                    status, told, _ = slot.get(timeout=left)
+                    response = respond(status, told)
+                except queue.Empty:
+                    response = unavailable()
+            answers.append(peers.RelayedAnswer(response.status, msgspec.Raw(response.body)))
+        return respond(200, peers.ReportAnswers(answers))
--- a/appleshift/node.py
+++ b/appleshift/node.py
@@ -14,12 +14,12 @@
 from appleshift.bookkeeping.store import Store
 from appleshift.coordination import events
 from appleshift.coordination.core import Core
-from appleshift.coordination.desk import Desk
 from appleshift.coordination.leading.election import Election
 from appleshift.coordination.leading.leadership import Leadership
 from appleshift.coordination.leading.neighbours import Neighbours
 from appleshift.coordination.outgoing.outbound import CloudCalls, WorkerCalls
 from appleshift.coordination.pace import Capacity, Load
+from appleshift.coordination.routing.router import RequestRouter
 from appleshift.holding import Holding, House
 from appleshift.intake import routes
 from appleshift.protocol import peers
@@ -109,7 +109,7 @@
         if siblings:
             self._house.held_back = self.reach.held_back
         self._neighbours = Neighbours(siblings, self._elections, routines, self.reach)
-        self.desk = Desk(
+        self.router = RequestRouter(
             self.holdings,
             siblings,
             self._post,
@@ -153,8 +153,8 @@
         """
         settings = self.settings
         doors = (
-            (settings.cluster_listen, self.desk.cluster, self._capacity.peers, "cluster"),
-            (settings.listen, self.desk.public, self._capacity.connections, "listen"),
+            (settings.cluster_listen, self.router.cluster, self._capacity.peers, "cluster"),
+            (settings.listen, self.router.public, self._capacity.connections, "listen"),
         )
         for address, app, limit, name in doors[len(self._listeners) :]:
             self._listeners.append(Listener(split_address(address), app, limit, name))
@@ -195,7 +195,7 @@
             listener.stop()
         self.cloud.stop()
         self.workers.stop()
-        self.desk.stop()
+        self.router.stop()
         if self.keeper is not None:
             self.keeper.stop()
         if self._house.licences is not None:
