--- a/tests/standins.py
+++ b/tests/standins.py
@@ -50,6 +50,11 @@
         # This share of transactions gets no answer and is carried out later.
         self.late_share = 0.0
         self.carried_out_late: Counter[int] = Counter()
+        # This share of transactions is carried out at once; only the answer is lost.
+        self.lost_answer_share = 0.0
+        self.answers_lost: Counter[int] = Counter()
+        # Told of each change as it is made.
+        self.on_change: Callable[[dict[str, Any]], None] = lambda change: None
 
     def handle(self, caller: str, method: str, target: str, body: Any, reply: Reply) -> None:
         self.asked[caller] += 1
@@ -65,6 +70,10 @@
         if url.path == "/txn" and self.late_share and self.clock.rng.random() < self.late_share:
             self.clock.after(self.clock.rng.uniform(2.0, 12.0), lambda: self._late(body))
             return
+        lost = self.lost_answer_share
+        if url.path == "/txn" and lost and self.clock.rng.random() < lost:
+            self.answers_lost[self._txn(body)[0]] += 1
+            return
         reply(*self._answer(method, url.path, query, body))
 
     def _late(self, body: Any) -> None:
@@ -175,6 +184,7 @@
             if len(self.history) == self.history.maxlen:
                 self.forgotten = self.history[0][0]
             self.history.append((self.revision, {**change, "stamp": self.revision}))
+            self.on_change(change)
         watches, self.watches = self.watches, []
         for prefix, after, reply in watches:
             self._tell(prefix, after, reply, last=False)
@@ -235,6 +245,8 @@
         self.hires: dict[str, Any] = {}
         self.out = False
         self.fail_boots = 0.05
+        # Machines are up within so many seconds; None: within the usual time.
+        self.boot_within_s: float | None = None
 
     def handle(self, caller: str, method: str, target: str, body: Any, reply: Reply) -> None:
         if self.out:
@@ -280,6 +292,8 @@
             names.append(rig.name)
             if self.clock.rng.random() >= self.fail_boots:
                 delay = kind["ready_s"] * self.clock.rng.uniform(0.1, 1.5)
+                if self.boot_within_s is not None:
+                    delay = self.clock.rng.uniform(0.0, self.boot_within_s)
                 self.clock.after(delay, lambda rig=rig: self._up(rig))
         self.hires[body["hire"]] = {"rigs": names}
         return 200, {"rigs": names}
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -9,7 +9,7 @@
 
 from appleshift.intake import routes
 from appleshift.transport.server import Request
-from tests.chaos import heal, unleash
+from tests.faults import heal, unleash
 from tests.sites import CROWDED
 from tests.world import World
 
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -10,8 +10,8 @@
 from appleshift.reach.duty import Reach
 from appleshift.reach.others import Others, Word
 from appleshift.reach.sight import Seen, Sight
-from tests.chaos import heal, unleash
-from tests.meetings import entitled, unfinished, watch
+from tests.faults import heal, unleash
+from tests.overlap import entitled, unfinished, watch
 from tests.sites import LARGE, SMALL, Site
 from tests.world import World
 
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -18,8 +18,8 @@
 
 from appleshift import cli
 from appleshift.coordination.leading.leadership import Leadership
-from tests.chaos import heal, unleash
-from tests.meetings import entitled, unfinished, watch
+from tests.faults import heal, unleash
+from tests.overlap import entitled, unfinished, watch
 from tests.sites import LARGE, SMALL, Site
 from tests.standins import Reply
 from tests.world import Host, World
--- a/tests/test_seats_world.py
+++ b/tests/test_seats_world.py
@@ -11,7 +11,7 @@
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.seats import LicenceServer as Server
 from appleshift.protocol.seats import SeatDefinition, SeatRules, TeamSeats
-from tests.chaos import heal, unleash
+from tests.faults import heal, unleash
 from tests.licences import LicenceServer
 from tests.world import LICENCES, World
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -15,7 +15,7 @@
 from appleshift.protocol.shares import Epoch
 from appleshift.shares.assignment import MOVE_GAP_S, SETTLED_S, Controller, Steward, heirs
 from appleshift.shares.map import ShareMap, epoch
-from tests.chaos import heal, outages, unleash
+from tests.faults import heal, outages, unleash
 from tests.sites import LARGE, SMALL, Site
 from tests.world import Host, World
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -13,8 +13,8 @@
 from appleshift.coordination.fleet.fleet import Fleet
 from appleshift.coordination.leading.leadership import Leadership
 from appleshift.transport.server import Request
-from tests.chaos import heal, outages, unleash
-from tests.meetings import unfinished
+from tests.faults import heal, outages, unleash
+from tests.overlap import unfinished
 from tests.rules import Seen
 from tests.sites import KINDS, LARGE, SMALL
 from tests.standins import Reply
