--- a/appleshift/coordination/events.py
+++ b/appleshift/coordination/events.py
@@ -48,6 +48,10 @@
     homed: bool = False
     """Another share has written down that this one decides for the job."""
 
+    @property
+    def job_id(self) -> str:
+        return self.spec.id
+
 
 class Status(Request, frozen=True):
     job_id: str
--- a/appleshift/coordination/leading/leadership.py
+++ b/appleshift/coordination/leading/leadership.py
@@ -77,6 +77,12 @@
     def may_answer(self, now: float) -> bool:
         return self.leading and (now < self._lease_until or now < self._pledge_until)
 
+    def entitled_for_s(self, now: float) -> float:
+        """For how long this node may still answer, whatever happens to it; 0: it may not."""
+        if not self.leading:
+            return 0.0
+        return max(0.0, self._lease_until - now, self._pledge_until - now)
+
     # -- standing ---------------------------------------------------------------
 
     def sibling_cleared(self, sibling: str) -> None:
--- a/appleshift/coordination/requests.py
+++ b/appleshift/coordination/requests.py
@@ -77,13 +77,14 @@
             else:
                 self._or_stalled(slot, 200, users.state_body(spec.id, users.PENDING))
             return
-        if not self._takes_writes():
-            core.unavailable(slot)
-            return
         wrong = refusal(tables, spec, core.seats)
         if wrong is not None:
+            # Also in an outage: nothing has to be written to refuse it.
             core.reply(slot, wrong[0], users.error_body(wrong[1]), 1 if wrong[0] == 503 else 0)
             return
+        if not self._takes_writes():
+            core.unavailable(slot)
+            return
         if core.sharing is not None and not homed:
             if not core.sharing.is_home(spec.id):
                 # Sent by a node that goes by an older map.
@@ -154,6 +155,18 @@
             return users.CANCELLED
         return users.RUNNING if job.running() else users.PENDING
 
+    def told_by_now(self, job_id: str) -> str | None:
+        """What users have been told of a job at least: its final state, PENDING if it was
+        accepted, None if it is not known. Any routine may ask: it reads single values."""
+        final = self._tables.finals.get(job_id)
+        if final is not None:
+            return FINAL_NAMES.get(final, users.PENDING)
+        job = self._tables.job_by_id.get(job_id)
+        if job is None:
+            return None
+        state = self.state(job)
+        return state if state in FINAL_NAMES.values() else users.PENDING
+
     def _unknown(self, job_id: str, slot: Any, homed: bool, map_version: int) -> None:
         """No such job here. Only if it was asked for by the map in force, or sent on
         from where its id leads, does that mean that there is none: nodes that knew of
--- a/appleshift/coordination/routing/context.py
+++ b/appleshift/coordination/routing/context.py
@@ -40,6 +40,18 @@
     return respond(503, users.error_body("not available right now"), 1)
 
 
+@dataclass(frozen=True, slots=True)
+class CoreAnswer:
+    """What the core answers to a request."""
+
+    status: int
+    body: Any
+    retry_after: int = 0
+
+    def response(self) -> Response:
+        return respond(self.status, self.body, self.retry_after)
+
+
 def refuse_method(method: str, allowed: str) -> Response | None:
     """The answer to a request by another method than the allowed one; None: it is allowed."""
     if method == allowed or (method == "HEAD" and allowed == "GET"):
@@ -66,6 +78,10 @@
         """The answer to a report that says nothing new; None: the core must see it."""
         ...
 
+    def told_by_now(self, job_id: str) -> str | None:
+        """What users have been told of a job at least, as far as this node knows."""
+        ...
+
     def view(self) -> dict[str, Any]:
         """For operators: what its core has, if it is held here."""
         ...
@@ -118,13 +134,17 @@
         holder = replica.election.current_leader()
         return not self.entitled(replica) and holder not in (None, replica.election.name)
 
-    def ask(self, event: events.Request) -> Response:
-        """Put a request to the core and wait for its answer."""
+    def ask_core(self, event: events.Request) -> CoreAnswer | None:
+        """Put a request to the core and wait for its answer; None: it gives none in time."""
         if self.load() > MOST_LOAD[type(event)]:
-            return unavailable()
+            return None
         self.post(event)
         try:
-            status, body, retry_after = event.slot.get(timeout=ANSWER_S)
+            return CoreAnswer(*event.slot.get(timeout=ANSWER_S))
         except queue.Empty:
-            return unavailable()
-        return respond(status, body, retry_after)
+            return None
+
+    def ask(self, event: events.Request) -> Response:
+        """What the core answers to a request, as a response."""
+        answer = self.ask_core(event)
+        return unavailable() if answer is None else answer.response()
--- a/appleshift/coordination/routing/forwarding.py
+++ b/appleshift/coordination/routing/forwarding.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from appleshift.coordination.routing.context import RoutingContext, ShareReplica, unavailable
+from appleshift.coordination.routing.freshness import Freshness
 from appleshift.transport.client import ClientError
 from appleshift.transport.server import Request, Response
 
@@ -20,8 +21,14 @@
 class Forwarder:
     """``route`` answers a request here, as if a sibling had sent it."""
 
-    def __init__(self, context: RoutingContext, route: Callable[[Request], Response]) -> None:
+    def __init__(
+        self,
+        context: RoutingContext,
+        freshness: Freshness,
+        route: Callable[[Request], Response],
+    ) -> None:
         self._context = context
+        self._freshness = freshness
         self._route = route
 
     def forward(
@@ -47,11 +54,9 @@
             context.routines.sleep(0.05)
         try:
             body = request.body if request.method == "POST" else None
-            status, answer, retry = client.request_full(
-                request.method, request.path, body, FORWARD_S
-            )
+            asked_at = context.routines.now()
+            answer = client.request_full(request.method, request.path, body, FORWARD_S)
         except ClientError as error:
             log.debug("forwarding: %s", error)
             return unavailable()
-        headers = {"Retry-After": retry} if retry else {}
-        return Response(status, answer, headers)
+        return self._freshness.passed_on(answer, asked_at)
--- a/appleshift/coordination/routing/router.py
+++ b/appleshift/coordination/routing/router.py
@@ -16,6 +16,7 @@
     respond,
 )
 from appleshift.coordination.routing.forwarding import Forwarder
+from appleshift.coordination.routing.freshness import Freshness
 from appleshift.coordination.routing.operator_endpoints import OperatorEndpoints
 from appleshift.coordination.routing.peer_endpoints import PeerEndpoints
 from appleshift.coordination.routing.user_endpoints import JOBS, UserEndpoints
@@ -48,8 +49,11 @@
         heard: Callable[[], None] = lambda: None,
     ) -> None:
         context = RoutingContext(replicas, siblings, post, load, routines, share_map)
-        forwarder = Forwarder(context, lambda request: self._route(request, forwarded=True))
-        self._users = UserEndpoints(context, forwarder)
+        freshness = Freshness(context)
+        forwarder = Forwarder(
+            context, freshness, lambda request: self._route(request, forwarded=True)
+        )
+        self._users = UserEndpoints(context, forwarder, freshness)
         self._workers = WorkerEndpoints(context, crowded, heard)
         self._peers = PeerEndpoints(context, reaches, hello)
         self._operators = OperatorEndpoints(context, forwarder, store, hears)
--- a/appleshift/coordination/routing/user_endpoints.py
+++ b/appleshift/coordination/routing/user_endpoints.py
@@ -6,15 +6,22 @@
 from urllib.parse import parse_qs, urlsplit
 
 from appleshift.coordination import events
-from appleshift.coordination.routing.context import RoutingContext, respond, unavailable
+from appleshift.coordination.routing.context import (
+    RoutingContext,
+    ShareReplica,
+    respond,
+    unavailable,
+)
 from appleshift.coordination.routing.forwarding import Forwarder
+from appleshift.coordination.routing.freshness import Freshness
 from appleshift.protocol import users
 from appleshift.protocol.wire import ProtocolError, decode
 from appleshift.transport.server import Request, Response
 
 JOBS = "/submissions"
 
-MakeEvent = Callable[[int, bool, int], events.Request]
+JobRequest = events.Submit | events.Status | events.Cancel
+MakeEvent = Callable[[int, bool, int], JobRequest]
 """Makes the event for a share; whether another share says that it decides, and the
 version of the map that led there."""
 
@@ -27,9 +34,10 @@
 class UserEndpoints:
     """``forwarded``: a sibling sent the request on; it names the share that it asks."""
 
-    def __init__(self, context: RoutingContext, forwarder: Forwarder) -> None:
+    def __init__(self, context: RoutingContext, forwarder: Forwarder, freshness: Freshness) -> None:
         self._context = context
         self._forwarder = forwarder
+        self._freshness = freshness
 
     def submit(self, request: Request, forwarded: bool) -> Response:
         spec = users.decode_submission(request.body)
@@ -92,9 +100,16 @@
         if replica is None:
             return unavailable()
         if not self._context.elsewhere(replica):
-            return self._context.ask(event(share, "homed" in query, version))
+            return self._ask_here(replica, event(share, "homed" in query, version))
         return self._forwarder.forward(replica, request, forwarded, hold)
 
+    def _ask_here(self, replica: ShareReplica, event: JobRequest) -> Response:
+        """What this node answers for a share that it holds."""
+        answer = self._context.ask_core(event)
+        if answer is None:
+            return unavailable()
+        return self._freshness.watch(answer, replica, event.job_id)
+
     def _ask_share(
         self, share: int, request: Request, event: MakeEvent, hold: bool, homed: bool = False
     ) -> Response:
@@ -105,7 +120,7 @@
         if replica is None:
             return unavailable()
         if not self._context.elsewhere(replica):
-            return self._context.ask(event(share, homed, version))
+            return self._ask_here(replica, event(share, homed, version))
         query = f"?share={share}&map={version}" + ("&homed=1" if homed else "")
         path = urlsplit(request.path).path + query
         return self._forwarder.forward(
--- a/appleshift/holding.py
+++ b/appleshift/holding.py
@@ -378,6 +378,11 @@
         found = None if core is None else core.tables.machine(machine)
         return found is not None and not found.foreign
 
+    def told_by_now(self, job_id: str) -> str | None:
+        """What users have been told of a job at least, as far as this node knows."""
+        core = self.core
+        return None if core is None else core.requests.told_by_now(job_id)
+
     def view(self) -> dict[str, Any]:
         core = self.core
         if core is None:
--- a/appleshift/transport/client.py
+++ b/appleshift/transport/client.py
@@ -6,15 +6,27 @@
 import threading
 import time
 from collections import deque
+from dataclasses import dataclass
 from typing import Protocol
 
 import httptools
 
 CONTENT_TYPE = "application/msgpack"
+RETRY_AFTER, VALID_FOR = b"retry-after", b"valid-for-ms"
 MAX_ANSWER = 64 * 1024 * 1024
 """Lists and logs can be long; nothing honest is longer than this."""
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A response, with the headers that callers go by."""
+
+    status: int
+    body: bytes
+    retry_after: str | None = None
+    valid_for_ms: str | None = None
+
+
 class ClientError(Exception):
     """No usable answer. The request may have been executed, or may yet be."""
 
@@ -28,24 +40,25 @@
 
     def request_full(
         self, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
-    ) -> tuple[int, bytes, str | None]: ...
+    ) -> Answer: ...
 
     def close(self) -> None: ...
 
 
-class _Answer:
+class _AnswerReader:
     """One response, put together by httptools' parser."""
 
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.parts: list[bytes] = []
-        self.retry_after: str | None = None
+        self.headers: dict[bytes, str] = {}
         self.complete = False
         self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"retry-after":
-            self.retry_after = value.decode("latin-1")
+        key = name.lower()
+        if key in (RETRY_AFTER, VALID_FOR):
+            self.headers[key] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
         self.parts.append(body)
@@ -56,6 +69,14 @@
             # Asked later, the parser would speak of the message to come.
             self.reusable = self.parser.should_keep_alive()
 
+    def whole(self) -> Answer:
+        return Answer(
+            self.parser.get_status_code(),
+            b"".join(self.parts),
+            self.headers.get(RETRY_AFTER),
+            self.headers.get(VALID_FOR),
+        )
+
 
 class HttpClient:
     """Requests to one address; connections are kept for the next request.
@@ -75,13 +96,13 @@
         self, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
     ) -> tuple[int, bytes]:
         """One request and its answer; ClientError if there is none in time."""
-        status, answer, _ = self.request_full(method, path, body, timeout)
-        return status, answer
+        answer = self.request_full(method, path, body, timeout)
+        return answer.status, answer.body
 
     def request_full(
         self, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
-    ) -> tuple[int, bytes, str | None]:
-        """Like ``request``, with the answer's ``Retry-After``."""
+    ) -> Answer:
+        """Like ``request``, with the answer's headers."""
         if not path.isascii() or any(character in path for character in " \r\n"):
             raise ClientError(f"{path!r} cannot stand in a request line")
         head = f"{method} {path} HTTP/1.1\r\nHost: {self._host}:{self._port}\r\n"
@@ -107,11 +128,11 @@
             self._give(connection)
         else:
             connection.close()
-        return answer.parser.get_status_code(), b"".join(answer.parts), answer.retry_after
+        return answer.whole()
 
     @staticmethod
-    def _receive(connection: socket.socket, until: float) -> _Answer:
-        answer = _Answer()
+    def _receive(connection: socket.socket, until: float) -> _AnswerReader:
+        answer = _AnswerReader()
         size = 0
         while not answer.complete:
             data = connection.recv(65536)
--- a/appleshift/transport/server.py
+++ b/appleshift/transport/server.py
@@ -44,6 +44,13 @@
     body: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
     content_type: str = "application/msgpack"
+    revalidate: Callable[[Response], Response] | None = None
+    """Called right before the response is sent: gives what is to be sent instead, if what it
+    says may be out of date by then."""
+
+    def current(self) -> Response:
+        """What is to be sent now."""
+        return self if self.revalidate is None else self.revalidate(self)
 
 
 App = Callable[[Request], Response]
@@ -111,7 +118,10 @@
         body = self._read_body()
         if body is not None:
             self.server.expect(self.connection, ANSWER_S)
-            self._send(self.app(Request(self.command, self.path, body)))
+            response = self.app(Request(self.command, self.path, body))
+            # Between here and the write nothing blocks, so a process that stood still
+            # since it worked the answer out finds out now.
+            self._send(response.current())
 
     do_GET = do_POST = do_DELETE = do_PUT = do_HEAD = do_PATCH = do_OPTIONS = _serve  # noqa: N815
 
