--- a/appleshift/bookkeeping/journal.py
+++ b/appleshift/bookkeeping/journal.py
@@ -37,6 +37,16 @@
 TXN_BYTES = 60 * 1024
 """Below the service's 64 KiB, to leave room for guards and framing."""
 
+IDLE_SHARE = 0.6
+"""What can wait is written at once while so much of a second's writes is unused,"""
+CHORE_SHARE = 0.3
+"""and gets so much of all writes however many records come. When it got none, the last
+snapshot of a minute of small jobs took as long as the jobs came, and the log grew."""
+CLEAN_UP_SHARE = 0.5
+MOST_REMOVALS = 200
+"""With more keys than this to be removed, chores get so much: a key that is written costs
+another write to remove, so with less, keys would pile up for as long as records come."""
+
 Record = list[Any]
 
 
@@ -121,10 +131,15 @@
     """A change that can wait: snapshot pages and deletes."""
 
     changes: list[dict[str, Any]]
-    probe: str
-    mark: str
+    probe: str = ""
+    mark: str = ""
     then: Callable[[], None] | None = None
 
+    def take(self, most: int) -> _Chore:
+        """The first changes of a clean-up, which may be made in any number of parts."""
+        taken, self.changes = self.changes[:most], self.changes[most:]
+        return _Chore(taken)
+
 
 @dataclass
 class Journal:
@@ -147,6 +162,11 @@
     bucket: Bucket = field(init=False)
     _queue: deque[_Pending] = field(default_factory=deque)
     _chores: deque[_Chore] = field(default_factory=deque)
+    """Pages of a snapshot, and what makes it count."""
+    _removals: deque[_Chore] = field(default_factory=deque)
+    """Clean-up, which no snapshot waits for."""
+    _credit: Bucket = field(init=False)
+    """Writes that chores may make although records wait."""
     _flying: list[_Pending] | None = None
     _flying_chore: _Chore | None = None
     _txn: Txn | None = None
@@ -165,6 +185,7 @@
         # The limit is the service's, not ours alone: a leader before us may
         # have spent this second's burst.
         self.bucket = Bucket(self.write_rps, self.write_rps * 0.5, self.now)
+        self._credit = Bucket(self.write_rps * CHORE_SHARE, 0.0, self.now)
 
     # -- what is to be written -------------------------------------------
 
@@ -214,10 +235,16 @@
             then = self._queue.popleft().then
             if then is not None:
                 then()
+        chores = self._chores or self._removals
+        behind = sum(len(chore.changes) for chore in self._removals) > MOST_REMOVALS
+        self._credit.rate = self.write_rps * (CLEAN_UP_SHARE if behind else CHORE_SHARE)
+        credit = min(level, self._credit.fill(now))
+        if chores and credit >= 1.0:
+            return self._chore_txn(int(credit))
         if self._queue:
             return self._log_txn(level)
-        if self._chores and level >= max(1.0, self.write_rps * 0.6):
-            return self._chore_txn()
+        if chores and level >= max(1.0, self.write_rps * IDLE_SHARE):
+            return self._chore_txn(self.txn_ops)
         return None
 
     def _log_txn(self, level: float) -> Txn | None:
@@ -256,10 +283,19 @@
         self._txn = Txn(guards, changes, first, mark)
         return self._txn
 
-    def _chore_txn(self) -> Txn:
-        chore = self._chores.popleft()
+    def _next_chore(self, most: int) -> _Chore:
+        if self._chores:
+            return self._chores.popleft()
+        first = self._removals[0]
+        if len(first.changes) > most:
+            return first.take(most)
+        return self._removals.popleft()
+
+    def _chore_txn(self, most: int) -> Txn:
+        chore = self._next_chore(most)
         self._flying_chore = chore
         self.bucket.level -= len(chore.changes)
+        self._credit.level = max(0.0, self._credit.level - len(chore.changes))
         guards = [*self._guards]
         if chore.probe == self._meta_key:
             # A copy that arrives late must not bring an older snapshot back.
@@ -323,7 +359,7 @@
         audit: list[list[Any]],
         audit_pages: int,
     ) -> None:
-        old = self.meta
+        old, covered = self.meta, self.log_bytes
         # A deletion that got no answer may be carried out again, seconds later: no key
         # that was ever deleted in this term is written again. The pages of a snapshot
         # that broke off once had the next one's names, and a late copy of their
@@ -355,13 +391,14 @@
             new.audit = (first, following, entries + len(audit))
         mark = self._mark()
         done = _Chore([state.put(self._meta_key, new.value(mark))], self._meta_key, mark)
-        done.then = lambda: self._adopt(old, new)
+        done.then = lambda: self._adopt(old, new, covered)
         self._chores.append(done)
 
-    def _adopt(self, old: Meta, new: Meta) -> None:
+    def _adopt(self, old: Meta, new: Meta, covered: int) -> None:
+        """The snapshot counts from now on, and with it ``covered`` bytes of the log."""
         self.meta = new
         self.snapshotting = False
-        self.log_bytes = 0
+        self.log_bytes -= covered
         self.sweep(
             [log_key(number, self.prefix) for number in range(old.log_from, new.log_from)]
             + [snap_key(old.generation, page, self.prefix) for page in range(old.pages)]
@@ -375,7 +412,7 @@
         self._spent = max([self._spent, *generations])
         for start in range(0, len(keys), self.txn_ops):
             some = keys[start : start + self.txn_ops]
-            self._chores.append(_Chore([state.remove(key) for key in some], "", ""))
+            self._removals.append(_Chore([state.remove(key) for key in some]))
 
     def _pages(self, records: list[Record]) -> list[list[Record]]:
         pages: list[list[Record]] = []
--- a/appleshift/bookkeeping/store.py
+++ b/appleshift/bookkeeping/store.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 
 from appleshift.bookkeeping.journal import FINAL, LOG, META, SNAP, Meta, final_key, log_key
 from appleshift.bookkeeping.records import Replay
 from appleshift.protocol import state
-from appleshift.protocol.wire import ProtocolError, encode
+from appleshift.protocol.wire import ProtocolError, encode, json_size
 from appleshift.transport.client import Caller, ClientError
 from appleshift.transport.routines import RateBudget, Routines
 
@@ -132,12 +133,21 @@
         return changes
 
 
-def recover(store: Store, replay: Replay, prefix: str = "") -> tuple[Meta, int, int, list[str]]:
-    """Read snapshot and log of a share's key range into ``replay``.
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """Where the log of a share goes on."""
 
-    Returns what ``meta`` says, its version, the log's next number, and the
-    keys that a broken-off snapshot or clean-up left behind.
-    """
+    meta: Meta
+    meta_version: int
+    next_log: int
+    log_bytes: int
+    """Size of the log that no snapshot covers."""
+    leftovers: list[str]
+    """Keys that a broken-off snapshot or clean-up left behind."""
+
+
+def recover(store: Store, replay: Replay, prefix: str = "") -> Recovered:
+    """Read snapshot and log of a share's key range into ``replay``."""
     item = store.get(prefix + META)
     meta, version = Meta(), 0
     if item is not None:
@@ -163,11 +173,12 @@
             replay.apply(row.value["records"])
         else:
             leftovers.append(row.key)
-    number = meta.log_from
+    number, log_bytes = meta.log_from, 0
     for row in store.everything(prefix + LOG):
         if row.key < log_key(meta.log_from, prefix):
             leftovers.append(row.key)
             continue
         replay.apply(row.value["records"])
+        log_bytes += json_size(row.value)
         number = int(row.key[len(prefix + LOG) :]) + 1
-    return meta, version, number, leftovers
+    return Recovered(meta, version, number, log_bytes, leftovers)
--- a/appleshift/coordination/core.py
+++ b/appleshift/coordination/core.py
@@ -62,6 +62,9 @@
 PLACE_GAP_PER_MACHINE_S = 1e-4
 """A pass looks at every machine: what makes room in between shares the next one."""
 PLACE_LAG_S = 1.0
+SNAPSHOT_AFTER_S = 5.0
+"""What a leader found of the log counts as its own, or a log over which leaders change would
+grow for ever; but users and workers come first when it begins."""
 SNAPSHOT_LAG_S = 0.1
 """Placement, then snapshots, leave the log to what users wait for."""
 
@@ -541,6 +544,8 @@
         journal = self.journal
         if journal.snapshotting or journal.log_bytes < self.operator.snapshot_kb * 1024:
             return
+        if self.now - self.started < SNAPSHOT_AFTER_S:
+            return
         if journal.lag_s() > SNAPSHOT_LAG_S or not self.authority.may_write(self.now):
             return
         finals: list[list[Any]] = [list(entry) for entry in self.unsaved_finals]
--- a/appleshift/coordination/fleet/fleet.py
+++ b/appleshift/coordination/fleet/fleet.py
@@ -266,7 +266,9 @@
     def gives(self, kind: int, zone: int, spot: bool) -> bool:
         """This market has not refused lately, and what it gives could be heard."""
         if zone in self.health.dark:
-            return False
+            asked = any(entry[1] == zone for entry in self.asked.values())
+            if asked or not self.health.may_try(zone):
+                return False
         return self.refused.get((kind, zone, spot), (0.0, 0.0))[0] <= self.core.now
 
     def exhausted(self, kind: int, zone: int, spot: bool) -> bool:
@@ -397,6 +399,9 @@
                 self.most,
             )
         count = min(count, self.room())
+        if zone in self.health.dark:
+            # One shows whether the zone is back as well as a hundred do.
+            count = min(count, 1)
         if count <= 0:
             return
         self.requests += 1
--- a/appleshift/coordination/fleet/health.py
+++ b/appleshift/coordination/fleet/health.py
@@ -40,6 +40,9 @@
 """Longer than this, machines that cannot be heard are not paid for, and a zone
 of which nothing is left to be heard is tried again."""
 
+TRY_S = 10.0
+"""After so long a zone that is cut off, and of which nothing is left, is tried."""
+
 
 class Health:
     """Part of the fleet: looks at every machine a few times a second."""
@@ -129,6 +132,18 @@
         takeover; what it holds is not rented anew for that."""
         return self._core.now - self.dark.get(zone, self._core.now) <= GONE_S
 
+    def may_try(self, zone: int) -> bool:
+        """May a single machine be rented in a zone that is cut off, to find out?
+
+        If all that was heard of a zone was deleted or has died, nothing can ever be heard of
+        it again. Jobs that are bound to it once waited three minutes for that reason alone.
+        """
+        since = self.dark.get(zone)
+        if since is None or self._core.now - since < TRY_S:
+            return False
+        machines = self._tables.machines.values()
+        return not any(each.zone == zone and not each.asked_gone for each in machines)
+
     def _mark_dark(self, zones: set[int], now: float, heard: bool) -> None:
         for zone in zones - self.dark.keys():
             log.info("zone %s is cut off", self._tables.zones.names[zone])
--- a/appleshift/holding.py
+++ b/appleshift/holding.py
@@ -281,7 +281,7 @@
                 return
             replay = Replay(Tables(deployment.zones, deployment.teams), _make_trail)
             try:
-                meta, meta_version, next_log, leftovers = recover(house.store, replay, prefix)
+                recovered = recover(house.store, replay, prefix)
                 sharing = None
                 if house.keeper is not None:
                     sharing = house.keeper.sharing(term, replay)
@@ -303,14 +303,15 @@
             write_rps=max(1.0, limits.write_rps * house.operator.write_share / parts),
             value_bytes=int(limits.value_kb * 1024),
             txn_ops=limits.txn_ops,
-            meta=meta,
-            meta_version=meta_version,
-            next_log=next_log,
+            meta=recovered.meta,
+            meta_version=recovered.meta_version,
+            next_log=recovered.next_log,
+            log_bytes=recovered.log_bytes,
             now=now,
             prefix=prefix,
             also_guard=term.also,
         )
-        journal.sweep(leftovers)
+        journal.sweep(recovered.leftovers)
         self._drain_since = None
         self.core = Core(
             house.settings,
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -358,6 +358,7 @@
     world.inbound_cut.clear()
     world.outbound_cut.clear()
     world.islands.clear()
+    world.link_s = 0.0
     world.lossy = world.copies = world.held = world.slow = 0.0
     world.kept_for_next = world.cancel_at_end = 0.0
     world.close_looks = False
