--- a/appleshift/bookkeeping/tables.py
+++ b/appleshift/bookkeeping/tables.py
@@ -63,6 +63,7 @@
         "mine",
         "name",
         "pushed",
+        "rank",
         "running_since",
         "session",
         "state",
@@ -79,6 +80,9 @@
         self.session = session
         self.name = f"{job.spec.id}/{task}"
         self.state = ORDERED
+        # By how urgent work it was placed: that of its job, or more urgent if it was the
+        # job's turn before others. As urgent work does not stop it.
+        self.rank = job.rank
         self.durable = False
         self.exit_durable = False
         self.pushed = False
--- a/appleshift/coordination/placing/placement.py
+++ b/appleshift/coordination/placing/placement.py
@@ -94,6 +94,7 @@
         self._none_beside = Failures()
         self._late: dict[int, int] = {}
         self._preempt = False
+        self._rank: int | None = None
         self.preemption = Preemption(self)
 
     def order(self) -> list[Job]:
@@ -241,6 +242,9 @@
         order = self.order()
         for turn in turns(order, self.tables, self.pools, self.aims, self.now, self.wall):
             job = turn.job
+            # What is placed before more urgent work must not be stopped for it, or both
+            # take each other's room in every pass and neither ever runs.
+            self._rank = turn.rank
             missing = self._place_gang(job) if job.gang else self._place_tasks(job, turn.most)
             if missing and turn.most is None:
                 self.result.shortages.append(Shortage(job, missing))
@@ -267,7 +271,8 @@
 
     def _assign(self, job: Job, machine: Machine, attempt: int, tasks: list[int]) -> None:
         for task in tasks:
-            self.tables.assign(job, task, attempt, machine, machine.session)
+            run = self.tables.assign(job, task, attempt, machine, machine.session)
+            run.rank = job.rank if self._rank is None else min(job.rank, self._rank)
         self.preemption.placed(job, machine, len(tasks))
         if self._beside is not None and machine.index in self._beside and job.spec.gpus <= 0:
             cpus, memory = self._beside[machine.index]
--- a/appleshift/coordination/placing/preemption.py
+++ b/appleshift/coordination/placing/preemption.py
@@ -88,7 +88,7 @@
         if self._least_beside is None:
             self._least_beside = max(
                 (
-                    run.job.rank
+                    run.rank
                     for machine in self._with_cards()
                     for run in machine.runs.values()
                     if (run.job.spec.gpus > 0 or machine.free_gpus > EPSILON)
@@ -117,7 +117,7 @@
                     room.add(run.job)
                 elif run.state != ORDERED:
                     room.runs.append(run)
-                    room.least = max(room.least, run.job.rank)
+                    room.least = max(room.least, run.rank)
             self._rooms[machine.index] = room
         return room
 
@@ -307,7 +307,7 @@
         able = [run for run in room.runs if self._may_stop(job, run, borrowers)]
         # Of the least urgent work, what loses least; if equal, what is late anyway.
         now, late = self._placer.now, self._placer.late
-        able.sort(key=lambda run: (-run.job.rank, lost_work(run, now), -late(run.job)))
+        able.sort(key=lambda run: (-run.rank, lost_work(run, now), -late(run.job)))
         made = 0
         stopped: list[Run] = []
         while made < most:
@@ -345,7 +345,7 @@
         other = run.job
         if in_no_way(job.spec, run):
             return False
-        return other.rank > job.rank or other.team in borrowers
+        return run.rank > job.rank or other.team in borrowers
 
 
 def in_no_way(spec: Submission, run: Run) -> bool:
--- a/appleshift/coordination/placing/turns.py
+++ b/appleshift/coordination/placing/turns.py
@@ -72,6 +72,8 @@
     job: Job
     most: int | None = None
     """Place so many tasks at most and say nothing of the rest; None: all."""
+    rank: int | None = None
+    """The rank by which it is the job's turn, if that is not the job's own."""
 
 
 def turns(
@@ -100,7 +102,8 @@
     position = 0
     for job in order:
         while position < len(early) and early[position][0] <= job.rank:
-            yield Turn(*early[position][1:])
+            rank, early_job, most = early[position]
+            yield Turn(early_job, most, rank)
             position += 1
         if job.gang or job.service or not aims.guest(job) or tables.expected_s(job) <= LONG_S:
             yield Turn(job)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from appleshift.bookkeeping.tables import Job
+from appleshift.bookkeeping.tables import RUNNING, Job
 from appleshift.coordination.placing import turns
 from appleshift.coordination.placing.aims import Aims
 from appleshift.coordination.placing.placement import Placer
@@ -37,6 +37,34 @@
     assert large.index not in {index for index, _ in pass_at(turns.FOOT_S + 2.0)}
 
 
+def test_what_has_its_turn_before_more_urgent_work_is_not_stopped_for_it() -> None:
+    """Once 26 old arrays were started and stopped four times a second, and the urgent work for
+    which they were stopped never found the room: it was their turn again before."""
+    made = make.tables([("small", "a", False)] * 3)
+    aims = Aims([Objective("deadline", 0.9, "c")])
+    old = [make.job(made, tasks=1, cpus=4.0, priority="low", deadline_s=9.0) for _ in range(9)]
+    urgent = make.job(made, tasks=3, cpus=4.0, priority="high", deadline_s=9.0)
+    for job in old:
+        job.submitted = -turns.URGENT_S
+
+    def rounds(at: float) -> int:
+        """Two passes; returns how many tasks they stop."""
+        stopped = 0
+        for now in (at, at + 0.5):
+            stopped += len(Placer(made, now, now, -1.0, aims).run(True).victims)
+            for machine in made.machines.values():
+                for run in machine.runs.values():
+                    run.state = RUNNING
+        return stopped
+
+    assert rounds(1.0) == 0
+    assert sum(len(job.runs) for job in old) == 3
+    critical = make.job(made, tasks=1, cpus=4.0, priority="critical", deadline_s=9.0)
+    assert rounds(3.0) == 1, "critical work still goes first"
+    assert not urgent.runs
+    assert critical.pending
+
+
 def day_with_guests(seed: int) -> tuple[float, float]:
     """After a first backlog, arrays with deadlines need most of what 160 CPUs can do; guests
     bring long work for all of them.
