--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
 from tests.rules import Rules, Seen
+from tests.waiting import WaitingCheck
 
 A = {"name": "i-1", "type": "t", "zone": "a", "spot": False}
 B = {"name": "i-2", "type": "t", "zone": "b", "spot": False}
@@ -91,3 +93,87 @@
     answer(rules, 1.0, "poll", 200, "done")
     answer(rules, 2.0, "poll", 200, "running")
     assert rule(rules) == {"went_back"}
+
+
+def test_an_answer_that_left_after_its_user_was_told_something_newer() -> None:
+    rules = rules_with()
+    rules.jobs["job-000001"].tried_cancel = True
+    answer(rules, 1.0, "submit", 201, "pending")
+    answer(rules, 2.0, "cancel", 200, "aborted")
+    # Asked for before, and given before: the network may deliver it in any order.
+    rules.answered(3.0, 1.5, "job-000001", "poll", 200, "running", 1.9)
+    assert not rules.broken
+    rules.answered(3.0, 1.5, "job-000001", "poll", 200, "running", 2.1)
+    assert rule(rules) == {"went_back"}
+
+
+@pytest.mark.parametrize(
+    ("status", "broken"),
+    [(201, {"accepted_invalid"}), (200, {"accepted_invalid"}), (422, {"wrong_refusal"}),
+     (400, set()), (503, set())],
+)  # fmt: skip
+def test_invalid_submissions(status: int, broken: set[str]) -> None:
+    rules = rules_with()
+    rules.jobs["job-000001"].refused_with = 400
+    answer(rules, 1.0, "submit", status, "pending")
+    assert rule(rules) == broken
+
+
+def test_a_start_after_a_confirmed_cancellation_is_counted() -> None:
+    rules = rules_with()
+    rules.jobs["job-000001"].tried_cancel = True
+    answer(rules, 1.0, "submit", 201, "pending")
+    answer(rules, 2.0, "cancel", 200, "aborted")
+    rules.on_machine(3.0, "job-000001/0", A)
+    assert rules.starts_after_cancellation == 1
+    assert not rules.broken
+
+
+@pytest.mark.parametrize(("begun", "found"), [(3, 0), (2, 0), (1, 2), (0, 4)])
+def test_less_than_half_served(begun: int, found: int) -> None:
+    """Of four jobs of a class and team, the last one the largest."""
+    rules = Rules(10.0, {"red": (0.0, 0.0)})
+    for number in range(4):
+        spec = {"owner": "red", "workload": "c", "pieces": 1 + (number == 3)}
+        job = rules.jobs[f"job-{number:06d}"] = Seen(spec, accepted=True, accepted_at=1.0)
+        job.begun_at = 5.0 if number >= 4 - begun else None
+    assert len(rules.unserved(30.0, 240.0)) == found
+    late = rules.jobs["job-000003"]
+    late.begun_at = 300.0
+    assert any("begun late" in what for what in rules.unserved(400.0, 240.0))
+
+
+def worker(**changes: Any) -> Any:
+    kind = {"label": "t", "vcpus": 4.0, "cards": 0.0, "ram_gb": 16.0}
+    rig = SimpleNamespace(kind=kind, zone="a", spot=False, **changes)
+    return SimpleNamespace(rig=rig, dead=False, hung=False, sick=False, tasks={})
+
+
+@pytest.mark.parametrize(
+    ("changes", "stranded"),
+    [
+        ({}, True),
+        ({"vcpus": 5.0}, False),
+        ({"yard": "b"}, False),
+        ({"shape": "ensemble", "pieces": 2}, True),
+        ({"shape": "ensemble", "pieces": 3}, False),
+        ({"owner": "blue"}, False),
+    ],
+)
+def test_a_job_that_waits_beside_room(changes: dict[str, Any], stranded: bool) -> None:
+    """A machine has four processors and nothing on it; team blue may use one."""
+    spec = {
+        "owner": "red", "shape": "array", "pieces": 2, "vcpus": 2.0, "cards": 0.0, "ram_gb": 2.0,
+        "rig_kinds": None, "yard": None, "together": False, "spread": False, "loaners": False,
+        **changes,
+    }  # fmt: skip
+    rules = Rules(10.0, {"red": (0.0, 0.0), "blue": (1.0, 0.0)})
+    rules.jobs["job-000001"] = Seen(spec, accepted=True, accepted_at=1.0)
+    check = WaitingCheck(rules, {"m": worker()})
+    for second in range(100):
+        check.step(float(second))
+    assert not rules.broken, "something may still be wrong"
+    rules.healed_at = 100.0
+    for second in range(100, 300):
+        check.step(float(second))
+    assert rule(rules) == ({"stranded"} if stranded else set())
