--- a/days/reading.py
+++ b/days/reading.py
@@ -156,7 +156,8 @@
 def headings() -> list[str]:
     return [
         "site", "size", "day", "figure", "least class", "", "least team", "", "largest",
-        "neglected", "rules", "killed", "no node", "processor s", "MB", "conns", "threads", "again s", "worst", "",
+        "neglected", "rules", "killed", "no node", "processor s", "MB", "conns", "threads",
+        "again s", "worst", "",
     ]  # fmt: skip
 
 
