--- a/appleshift/coordination/leading/election.py
+++ b/appleshift/coordination/leading/election.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from appleshift.bookkeeping.store import LeaseGoneError, Store, StoreError, TxnFailedError
 from appleshift.coordination.leading.leadership import Leadership
@@ -48,6 +49,11 @@
     return f"share/{share:04d}/holder" if share else LEADER_KEY
 
 
+def _named(item: state.Item) -> dict[str, Any]:
+    """What a leader's key says; empty if nobody can read it."""
+    return item.value if isinstance(item.value, dict) else {}
+
+
 class Election:
     """One routine that stands and renews, and one for each sibling's pledge."""
 
@@ -257,18 +263,15 @@
                 self._stop.wait(0.15)
             return
         self._free_since = None
-        value = page.items[0].value if isinstance(page.items[0].value, dict) else {}
+        value = _named(page.items[0])
         leader, token = str(value.get("name", "")), value.get("token")
         self._leader_token = token if isinstance(token, int) else 0
         self.former = leader
         if leader != self.leader:
             self.leader, self._leader_since = leader, self._now()
         if self.leader == self.name:
-            # Left by an attempt of ours or by this node before its restart.
             self.leader = None
-            item = self.store.get(self.key)
-            if item is not None and isinstance(item.lease, int):
-                self.store.drop_lease(item.lease)
+            self._drop_left_key()
             self._stop.wait(0.1)
             return
         changes = self.store.watch(self.key, page.revision, WATCH_S)
@@ -277,6 +280,18 @@
         elif any(change.get("remove") for change in changes.news):
             self.leader = None
 
+    def _drop_left_key(self) -> None:
+        """End the lease of a key that an attempt of ours, or this node before its restart, left.
+
+        The key may be another node's by now. Its lease was once ended here, and a second
+        leader elected while the first one counted on it.
+        """
+        item = self.store.get(self.key)
+        if item is None or _named(item).get("name") != self.name:
+            return
+        if isinstance(item.lease, int):
+            self.store.drop_lease(item.lease)
+
     def _settle(self) -> None:
         """An attempt without an answer may yet be applied, until its lease ends."""
         assert self._stale_lease is not None
