--- a/appleshift/bookkeeping/journal.py
+++ b/appleshift/bookkeeping/journal.py
@@ -42,7 +42,10 @@
 CHORE_SHARE = 0.3
 """and gets so much of all writes however many records come. When it got none, the last
 snapshot of a minute of small jobs took as long as the jobs came, and the log grew."""
-CLEAN_UP_SHARE = 0.5
+CHORE_GAP_S = 0.25
+"""Records wait for one such write at a time, and not for another so soon: when a whole burst
+of pages went before them, users waited for their sum."""
+CLEAN_UP_SHARE, CLEAN_UP_GAP_S = 0.5, 0.1
 MOST_REMOVALS = 200
 """With more keys than this to be removed, chores get so much: a key that is written costs
 another write to remove, so with less, keys would pile up for as long as records come."""
@@ -165,6 +168,8 @@
     """Pages of a snapshot, and what makes it count."""
     _removals: deque[_Chore] = field(default_factory=deque)
     """Clean-up, which no snapshot waits for."""
+    _chore_at: float = float("-inf")
+    """When a chore was sent last."""
     _credit: Bucket = field(init=False)
     """Writes that chores may make although records wait."""
     _flying: list[_Pending] | None = None
@@ -239,12 +244,14 @@
         behind = sum(len(chore.changes) for chore in self._removals) > MOST_REMOVALS
         self._credit.rate = self.write_rps * (CLEAN_UP_SHARE if behind else CHORE_SHARE)
         credit = min(level, self._credit.fill(now))
-        if chores and credit >= 1.0:
-            return self._chore_txn(int(credit))
+        gap_s = CLEAN_UP_GAP_S if behind else CHORE_GAP_S
+        due = not self._queue or now - self._chore_at >= gap_s
+        if chores and due and credit >= 1.0:
+            return self._chore_txn(now, int(credit))
         if self._queue:
             return self._log_txn(level)
         if chores and level >= max(1.0, self.write_rps * IDLE_SHARE):
-            return self._chore_txn(self.txn_ops)
+            return self._chore_txn(now, self.txn_ops)
         return None
 
     def _log_txn(self, level: float) -> Txn | None:
@@ -291,8 +298,9 @@
             return first.take(most)
         return self._removals.popleft()
 
-    def _chore_txn(self, most: int) -> Txn:
+    def _chore_txn(self, now: float, most: int) -> Txn:
         chore = self._next_chore(most)
+        self._chore_at = now
         self._flying_chore = chore
         self.bucket.level -= len(chore.changes)
         self._credit.level = max(0.0, self._credit.level - len(chore.changes))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -165,6 +165,28 @@
         assert rest == []
 
 
+def test_a_snapshot_goes_on_while_records_come_and_they_wait_for_one_page_at_a_time() -> None:
+    """Pages once waited until nothing else did, and once a burst of them went before records."""
+    log, store, live = journal(value_bytes=1024), FakeStore(), tables()
+    fill(log, live, range(40))
+    drain(log, store, 1.0)
+    log.start_snapshot(live_records(live, None), [])
+    now, in_a_row, longest, rounds = 50.0, 0, 0, 0
+    while log.snapshotting and rounds < 2000:
+        rounds += 1
+        now += 0.02
+        log.append(["F", 0, [0, 0]])
+        txn = log.next_txn(now)
+        if txn is None:
+            continue
+        records = any(str(change.get("put", "")).startswith("log/") for change in txn.changes)
+        in_a_row = 0 if records else in_a_row + 1
+        longest = max(longest, in_a_row)
+        log.committed(store.txn(txn.guards, txn.changes))
+    assert not log.snapshotting
+    assert longest == 1
+
+
 def test_a_log_that_was_found_counts_towards_the_next_snapshot() -> None:
     """Or it grew for as long as leaders changed before any wrote enough of its own."""
     log, store, live = journal(value_bytes=1024), FakeStore(), tables()
