--- a/appleshift/coordination/requests.py
+++ b/appleshift/coordination/requests.py
@@ -149,23 +149,29 @@
 
     def state(self, job: Job) -> str:
         """What users may be told: only what is durable."""
+        final = self._final_state(job)
+        if final is not None:
+            return final
+        return users.RUNNING if job.running() else users.PENDING
+
+    @staticmethod
+    def _final_state(job: Job) -> str | None:
+        """Durable, and so told to whoever asks; None: the job is not over."""
         if job.done_durable:
             return users.DONE
-        if job.cancel_durable:
-            return users.CANCELLED
-        return users.RUNNING if job.running() else users.PENDING
+        return users.CANCELLED if job.cancel_durable else None
 
     def told_by_now(self, job_id: str) -> str | None:
         """What users have been told of a job at least: its final state, PENDING if it was
         accepted, None if it is not known. Any routine may ask: it reads single values."""
+        # In this order: an ended job is among the finals before it is gone from here.
+        job = self._tables.job_by_id.get(job_id)
         final = self._tables.finals.get(job_id)
         if final is not None:
             return FINAL_NAMES.get(final, users.PENDING)
-        job = self._tables.job_by_id.get(job_id)
         if job is None:
             return None
-        state = self.state(job)
-        return state if state in FINAL_NAMES.values() else users.PENDING
+        return self._final_state(job) or users.PENDING
 
     def _unknown(self, job_id: str, slot: Any, homed: bool, map_version: int) -> None:
         """No such job here. Only if it was asked for by the map in force, or sent on
