--- a/appleshift/sharding/array_partitions.py
+++ b/appleshift/sharding/array_partitions.py
@@ -4,13 +4,16 @@
 there before any other shard receives a partition. The receiving shard records a partition
 before it confirms, and from then on decides on its tasks. The home shard requests the status
 of each partition until all its tasks are done; any message may be lost, late or repeated.
-If a job is cancelled, each shard records a final state for its partition, even if the
-partition has not arrived yet, so that a partition that arrives later starts nothing. The user
-is answered once all shards have confirmed.
+If a job is cancelled, the home shard first makes the request durable: another shard cancels
+its partition permanently, so a request that a successor does not know must not reach it.
+Then each shard records a final state for its partition, even if the partition has not arrived
+yet, so that a partition that arrives later starts nothing. The user is answered once all
+shards have confirmed.
 """
 
 from __future__ import annotations
 
+import logging
 from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
@@ -24,6 +27,8 @@
 from appleshift.storage import records
 from appleshift.storage.records import Record
 
+log = logging.getLogger(__name__)
+
 MIN_TASKS_PER_SHARD = 24
 """Least number of tasks per shard for which an array is divided: with fewer, each shard would
 fetch the image for only a few tasks."""
@@ -92,18 +97,22 @@
     def cancel(self, job: Job, reply_to: Any) -> None:
         """Cancel a job with tasks in other shards; ``reply_to`` is answered once all of them have
         ended their partition."""
-        scheduler = self._scheduler
         if not job.cancel_requested and job.status == OPEN:
-            # From here on no task of the job starts or counts as done at the home shard.
-            job.status = CANCELLED
-            job.cancel_requested = True
-            scheduler.append_records(
-                [records.cancel_requested_record(job)], lambda: self._cancel_requested(job)
-            )
-        scheduler.add_pending_reply(reply_to)
+            self._request_cancellation(job)
+        self._scheduler.add_pending_reply(reply_to)
         self._cancel_replies[job.spec.id].append(reply_to)
 
-    def _cancel_requested(self, job: Job) -> None:
+    def _request_cancellation(self, job: Job) -> None:
+        """Record that an open job is to be cancelled; the other shards are told afterwards."""
+        # From here on no task of the job starts or counts as done at the home shard.
+        job.status = CANCELLED
+        job.cancel_requested = True
+        self._scheduler.append_records(
+            [records.cancel_requested_record(job)], lambda: self._cancel_request_durable(job)
+        )
+
+    def _cancel_request_durable(self, job: Job) -> None:
+        job.cancel_request_durable = True
         self._scheduler.stop_job(job)
         for shard, _, _ in job.partitions:
             self._poll_now(shard)
@@ -113,7 +122,7 @@
         """Record the cancellation and answer the user once no shard can start a task of the
         job."""
         job_id = job.spec.id
-        if not job.cancel_requested or job.cancel_durable:
+        if not job.cancel_requested or not job.cancel_request_durable:
             return
         if any((job_id, shard) not in self._ended for shard, _, _ in job.partitions):
             return
@@ -153,6 +162,8 @@
                 key = (job_id, shard)
                 if key in self._ended or (job.status != OPEN and not job.cancel_requested):
                     continue
+                if job.cancel_requested and not job.cancel_request_durable:
+                    continue
                 partitions, cancelled, status_of = found.setdefault(shard, ([], [], []))
                 if job.cancel_requested:
                     cancelled.append(job_id)
@@ -173,8 +184,9 @@
         _, start, count = partition
         partition_tasks = range(start, start + count)
         if partition_status.state == CANCELLED:
-            # Cancelled by this leader or by an earlier one whose request was durable.
             self._ended.add(key)
+            if job.status == OPEN:
+                self._resume_lost_cancellation(job, shard)
         elif job.status == OPEN:
             reported_done = (
                 partition_tasks
@@ -196,6 +208,16 @@
             self._ended.add(key)
         self._finish_cancellation(job)
 
+    def _resume_lost_cancellation(self, job: Job, shard: int) -> None:
+        """Cancel an open job of which another shard has already cancelled its partition.
+
+        The tasks of that partition never start again, so the job could not end otherwise. Only
+        a request of the user causes this: an earlier version of the leader sent the
+        cancellation to the other shards before it was durable, and failed.
+        """
+        log.warning("lost cancellation resumed job=%s partition_shard=%d", job.spec.id, shard)
+        self._request_cancellation(job)
+
     # -- at the shard that runs a partition --------------------------------------------
 
     def request_received(self, request: PartitionRequest) -> list[PartitionStatus]:
--- a/appleshift/state/entities.py
+++ b/appleshift/state/entities.py
@@ -103,6 +103,7 @@
         "backoff_s",
         "backoff_until",
         "cancel_durable",
+        "cancel_request_durable",
         "cancel_requested",
         "completed_run_s",
         "completed_runs",
@@ -179,6 +180,8 @@
         self.remote_running = 0
         # Whether the user cancelled the job and some other shard has not yet ended its tasks.
         self.cancel_requested = False
+        # Whether the record of that request is durable; only then other shards may be told.
+        self.cancel_request_durable = False
 
     @property
     def gang(self) -> bool:
--- a/appleshift/storage/records.py
+++ b/appleshift/storage/records.py
@@ -310,6 +310,7 @@
     def _apply_cancel_requested(self, job: Job, record: Record) -> None:
         job.status = CANCELLED
         job.cancel_requested = True
+        job.cancel_request_durable = True
 
     def _apply_cancel(self, job: Job, record: Record) -> None:
         if job.status != FINISHED:
--- /dev/null
+++ b/tests/support/durability_check.py
@@ -0,0 +1,92 @@
+"""A model of two shards that checks that nothing leaves a leader before its record is durable.
+
+Whatever a shard has sent, another shard or a user acts on for good. So each request, reply
+and answer is compared, at the moment it is sent, with what a successor would recover from
+the shard's durable log.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from appleshift.contracts.actions import CallShard, Reply
+from appleshift.protocol.sharding import PartitionReply, PartitionRequest, PartitionStatus
+from appleshift.state.cluster_state import ClusterState
+from appleshift.state.entities import partition_key
+from appleshift.state.name_index import from_ranges
+from appleshift.state.states import CANCELLED, FINISHED
+from appleshift.storage.records import LogReplayer
+from tests.support.sharding_model import SETTINGS, Share, SharesMachine
+
+
+def recovered(share: Share) -> ClusterState:
+    """The state that a successor would recover from the shard's durable log."""
+    replayer = LogReplayer(ClusterState(["a", "b"], SETTINGS.deployment.teams))
+    replayer.apply(share.log)
+    return replayer.cluster
+
+
+def check_request(cluster: ClusterState, request: PartitionRequest) -> None:
+    """Check that a successor knows everything that a request gives away."""
+    for partition in request.partitions:
+        job = cluster.job_by_id.get(partition.spec.id)
+        divided = job is not None and bool(job.partitions)
+        ended = partition.spec.id in cluster.final_states
+        assert divided or ended, "a partition was sent before the division was durable"
+    for job_id in request.cancelled:
+        job = cluster.job_by_id.get(job_id)
+        ended = cluster.final_states.get(job_id) == CANCELLED
+        cancelled = job is not None and job.status == CANCELLED
+        assert cancelled or ended, "a cancellation was sent before its request was durable"
+    for offer in request.machines:
+        assert offer.name in cluster.handed_off, "a machine was offered before it was handed off"
+
+
+def check_status(cluster: ClusterState, status: PartitionStatus) -> None:
+    """Check that a successor knows the reported state of a partition."""
+    key = partition_key(status.id)
+    job, final_state = cluster.job_by_id.get(key), cluster.final_states.get(key)
+    state = final_state if job is None else job.status
+    assert state is not None, "a partition was confirmed before it was durable"
+    if status.state in (CANCELLED, FINISHED):
+        assert state == status.state, "the end of a partition was reported before it was durable"
+    elif job is not None:
+        done = all(job.done[task] for task in from_ranges(status.done_ranges))
+        assert done, "done tasks were reported before they were durable"
+
+
+def check_answer(cluster: ClusterState, body: dict[str, Any]) -> None:
+    """Check that a successor knows what a user is told about a job."""
+    job_id, told = body["name_id"], body["status"]
+    job, final_state = cluster.job_by_id.get(job_id), cluster.final_states.get(job_id)
+    assert job is not None or final_state is not None, "accepted before it was durable"
+    state = final_state if job is None else job.status
+    if told == "aborted":
+        assert state == CANCELLED, "cancelled before it was durable"
+    elif told == "done":
+        assert state == FINISHED, "done before it was durable"
+
+
+class DurabilityCheckedModel(SharesMachine):
+    """The model of two shards; what a leader sends must rest on durable records."""
+
+    def collect(self, share: Share) -> None:
+        sent = list(share.scheduler.actions)
+        if any(isinstance(action, CallShard | Reply) for action in sent):
+            cluster = recovered(share)
+            for action in sent:
+                self.check_action(cluster, action)
+        super().collect(share)
+
+    @staticmethod
+    def check_action(cluster: ClusterState, action: Any) -> None:
+        if isinstance(action, CallShard) and isinstance(action.message, PartitionRequest):
+            check_request(cluster, action.message)
+        elif isinstance(action, Reply) and isinstance(action.body, PartitionReply):
+            for status in action.body.statuses:
+                check_status(cluster, status)
+            for name in action.body.machines:
+                known = cluster.machine(name) is not None or name in cluster.handed_off
+                assert known or name in cluster.deleted_machines, "accepted before it was durable"
+        elif isinstance(action, Reply) and "name_id" in (action.body or ()):
+            check_answer(cluster, action.body)
