--- a/appleshift/sharding/array_partitions.py
+++ b/appleshift/sharding/array_partitions.py
@@ -22,7 +22,7 @@
 from appleshift.protocol.sharding import ArrayPartition, PartitionRequest, PartitionStatus
 from appleshift.sharding.shard_scheduler_interface import ShardScheduler
 from appleshift.state.entities import Job, partition_key
-from appleshift.state.name_index import from_ranges, to_ranges
+from appleshift.state.name_index import numbers_within, to_ranges
 from appleshift.state.states import CANCELLED, FINISHED, OPEN
 from appleshift.storage import records
 from appleshift.storage.records import Record
@@ -69,6 +69,8 @@
         # For partitions that run here: number of done tasks, and their ranges, by job id. The
         # ranges are computed again when the number changes.
         self._done_ranges: dict[str, tuple[int, list[int]]] = {}
+        # Ids of jobs with an invalid partition that was logged.
+        self._logged_invalid: set[str] = set()
 
     def __len__(self) -> int:
         """Number of jobs with tasks in other shards."""
@@ -191,11 +193,9 @@
             reported_done = (
                 partition_tasks
                 if partition_status.state == FINISHED
-                else from_ranges(partition_status.done_ranges)
+                else numbers_within(partition_status.done_ranges, partition_tasks)
             )
-            done = [
-                task for task in reported_done if task in partition_tasks and not job.done[task]
-            ]
+            done = [task for task in reported_done if not job.done[task]]
             self._running[key] = partition_status.running
             job.remote_running = sum(
                 self._running.get((partition_status.id, other), 0) for other, _, _ in job.partitions
@@ -229,7 +229,7 @@
         for partition in request.partitions:
             key = partition_key(partition.spec.id)
             known = key in cluster.final_states or key in cluster.job_by_id
-            if not known and cluster.team_names.get(partition.spec.team) >= 0:
+            if not known and self._is_acceptable(partition):
                 self._accept(partition)
         for job_id in request.cancelled:
             self._cancel_partition(job_id)
@@ -244,6 +244,22 @@
             if (partition_status := self._partition_status(job_id)) is not None
         ]
 
+    def _is_acceptable(self, partition: ArrayPartition) -> bool:
+        """Whether the partition is a part of its job, and its team is known here."""
+        end = partition.start + partition.count
+        if not 0 <= partition.start < end <= partition.spec.tasks:
+            job_id = partition.spec.id
+            if job_id not in self._logged_invalid:
+                self._logged_invalid.add(job_id)
+                log.warning(
+                    "invalid partition ignored job=%s start=%d count=%d",
+                    job_id,
+                    partition.start,
+                    partition.count,
+                )
+            return False
+        return self._scheduler.cluster.team_names.get(partition.spec.team) >= 0
+
     def _accept(self, partition: ArrayPartition) -> None:
         scheduler = self._scheduler
         cluster = scheduler.cluster
--- a/appleshift/sharding/machine_transfer.py
+++ b/appleshift/sharding/machine_transfer.py
@@ -24,10 +24,11 @@
 class MachineTransfer:
     """Hands machines off to other shards and accepts theirs, for one term of a shard."""
 
-    def __init__(self, scheduler: ShardScheduler, shard: int) -> None:
+    def __init__(self, scheduler: ShardScheduler, shard: int, shard_count: int) -> None:
         """For one term of ``shard``; offers again each hand-off recovered from the log."""
         self._scheduler = scheduler
         self._shard = shard
+        self._shard_count = shard_count
         # Durable hand-offs that are not confirmed in this term. A hand-off must not be offered
         # before it is durable: after a change of leader both shards would own the machine.
         self._unconfirmed: dict[str, HandedOffMachine] = dict(scheduler.cluster.handed_off)
@@ -42,6 +43,7 @@
             machine is None
             or machine.in_other_shard
             or shard == self._shard
+            or not 0 <= shard < self._shard_count
             or not machine.agent_epoch
         ):
             return None
--- a/appleshift/sharding/sharding.py
+++ b/appleshift/sharding/sharding.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import defaultdict
 from typing import Any
 
@@ -27,6 +28,8 @@
 from appleshift.state.resources import type_fits
 from appleshift.storage.records import Record
 
+log = logging.getLogger(__name__)
+
 POLL_INTERVAL_S = 0.05
 """Seconds between two checks for messages that are due to other shards."""
 REQUEST_INTERVAL_S = 1.0
@@ -54,6 +57,8 @@
         self._pending_calls: set[int] = set()
         self._next_call_at: dict[int, float] = defaultdict(float)
         self._next_poll_at = 0.0
+        # Shards whose calls were refused and logged.
+        self._logged_unknown_shards: set[int] = set()
 
     def attach(self, scheduler: Any) -> None:
         """Set the scheduler of this term; must be called before any other method."""
@@ -61,7 +66,7 @@
         self._partitions = ArrayPartitions(
             scheduler, self.shard, self._map.submission_shards, self._poll_now
         )
-        self._transfer = MachineTransfer(scheduler, self.shard)
+        self._transfer = MachineTransfer(scheduler, self.shard, self.shard_count)
         self._reporter = ShardReporter(scheduler, self.shard, self._transfer)
         self._fleet_summary = FleetSummary(scheduler, self._map, self._transfer)
 
@@ -139,9 +144,13 @@
         """Handle a request from the leader of another shard.
 
         The reply is 503 if this leader's lease does not permit to answer, or does not permit
-        to write and the request needs a write.
+        to write and the request needs a write, or if the sender is no other shard of the map.
         """
         scheduler = self._scheduler
+        if not self._is_other_shard(message.shard):
+            self._log_unknown_shard(message.shard)
+            scheduler.reply_unavailable(reply_to)
+            return
         if isinstance(message, ShardSummary) and not self.shard:
             if scheduler.lease.may_answer(scheduler.now):
                 scheduler.reply(reply_to, 200, self._fleet_summary.summary_received(message))
@@ -158,6 +167,14 @@
                 return
         scheduler.reply_unavailable(reply_to)
 
+    def _is_other_shard(self, shard: int) -> bool:
+        return 0 <= shard < self.shard_count and shard != self.shard
+
+    def _log_unknown_shard(self, shard: int) -> None:
+        if shard not in self._logged_unknown_shards:
+            self._logged_unknown_shards.add(shard)
+            log.warning("call of unknown shard refused shard=%d", shard)
+
     def reply_received(self, shard: int, reply: Any) -> None:
         """Apply the reply of another shard to a call; None if the call failed or timed out."""
         self._pending_calls.discard(shard)
--- a/appleshift/state/name_index.py
+++ b/appleshift/state/name_index.py
@@ -51,3 +51,16 @@
         for first, last in zip(flat[::2], flat[1::2], strict=True)
         for number in range(first, last + 1)
     ]
+
+
+def numbers_within(flat: list[int], within: range) -> list[int]:
+    """Return the numbers in a flat list of [first, last] pairs that lie in ``within``.
+
+    For lists from other shards: ignores half a pair, and its cost does not depend on the
+    size of the pairs.
+    """
+    return [
+        number
+        for first, last in zip(flat[::2], flat[1::2], strict=False)
+        for number in range(max(first, within.start), min(last + 1, within.stop))
+    ]
