--- a/appleshift/contracts/actions.py
+++ b/appleshift/contracts/actions.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from appleshift.protocol.sharding import ShardRequest
+
 
 class ReplyDestination(Protocol):
     """A queue on which the thread that received a request waits for the scheduler's answer."""
@@ -79,8 +81,7 @@
 
     shard: int
     """The shard to call."""
-    message: Any
-    """A message of ``protocol.sharding``."""
+    message: ShardRequest
 
 
 Action = Reply | SendCommands | ProbeMachine | RentMachines | DeleteMachines | CallShard
--- a/appleshift/contracts/events.py
+++ b/appleshift/contracts/events.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from appleshift.protocol.cloud import ListedMachine, MachineType
+from appleshift.protocol.sharding import ShardReply, ShardRequest
 from appleshift.protocol.users import Submission
 from appleshift.protocol.workers import Heartbeat
 
@@ -106,8 +107,7 @@
 class ShardRequestReceived(ApiRequest, frozen=True):
     """A call from the leader of another shard."""
 
-    message: Any
-    """A message of ``protocol.sharding``."""
+    message: ShardRequest
 
 
 # -- events of a term ------------------------------------------------------------
@@ -205,8 +205,8 @@
     """The result of ``CallShard``."""
 
     target_shard: int
-    reply: Any
-    """A message of ``protocol.sharding``; None: no response."""
+    reply: ShardReply | None
+    """None: no response."""
 
 
 Event = ElectionWon | LeadershipLost | HandOverRequested | ApiRequest | TermEvent
--- a/appleshift/contracts/interfaces.py
+++ b/appleshift/contracts/interfaces.py
@@ -17,6 +17,7 @@
 from appleshift.placement.result import Shortage
 from appleshift.protocol.operator import OperatorSettings
 from appleshift.protocol.settings import Settings
+from appleshift.protocol.sharding import ShardReply, ShardRequest
 from appleshift.protocol.users import Submission
 from appleshift.protocol.workers import Heartbeat
 from appleshift.state.cluster_state import ClusterState
@@ -144,11 +145,11 @@
         """Cancel a job with tasks in other shards, then answer the request."""
         ...
 
-    def request_received(self, message: Any, reply_to: Any) -> None:
+    def request_received(self, message: ShardRequest, reply_to: Any) -> None:
         """Process a call from the leader of another shard."""
         ...
 
-    def reply_received(self, shard: int, answer: Any) -> None:
+    def reply_received(self, shard: int, reply: ShardReply | None) -> None:
         """Process another shard's response to a call; None: there was no response."""
         ...
 
--- a/appleshift/sharding/array_partitions.py
+++ b/appleshift/sharding/array_partitions.py
@@ -151,29 +151,38 @@
             self._ended.discard(key)
             self._running.pop(key, None)
 
-    def outstanding(self) -> dict[int, tuple[list[ArrayPartition], list[str], list[str]]]:
-        """By shard: partitions to accept, ids of cancelled jobs, ids of jobs whose status is
-        requested."""
-        found: dict[int, tuple[list[ArrayPartition], list[str], list[str]]] = {}
-        for job_id, job in list(self._divided_jobs.items()):
+    def outstanding(self) -> dict[int, PartitionRequest]:
+        """Requests to other shards about divided jobs of this shard, by shard."""
+        requests: dict[int, PartitionRequest] = {}
+        for job in list(self._divided_jobs.values()):
             if not job.remote_tasks and job.status != CANCELLED:
                 self._remove_divided_job(job)
+            elif self._may_leave(job):
+                self._add_requests(job, requests)
+        return requests
+
+    @staticmethod
+    def _may_leave(job: Job) -> bool:
+        """Whether other shards may be told the state of a job: its division, and a cancellation
+        if there is one, are durable."""
+        if job.cancel_requested:
+            return job.accepted and job.cancel_request_durable
+        return job.accepted and job.status == OPEN
+
+    def _add_requests(self, job: Job, requests: dict[int, PartitionRequest]) -> None:
+        """Add what the other shards are to be asked about a job."""
+        job_id = job.spec.id
+        for shard, start, count in job.partitions:
+            key = (job_id, shard)
+            if key in self._ended:
                 continue
-            # A partition is not sent before the division is durable.
-            for shard, start, count in job.partitions if job.accepted else ():
-                key = (job_id, shard)
-                if key in self._ended or (job.status != OPEN and not job.cancel_requested):
-                    continue
-                if job.cancel_requested and not job.cancel_request_durable:
-                    continue
-                partitions, cancelled, status_of = found.setdefault(shard, ([], [], []))
-                if job.cancel_requested:
-                    cancelled.append(job_id)
-                elif key in self._accepted:
-                    status_of.append(job_id)
-                elif len(partitions) < MAX_PARTITIONS_PER_CALL:
-                    partitions.append(ArrayPartition(start, count, job.submitted, job.spec))
-        return found
+            request = requests.setdefault(shard, PartitionRequest(self._shard, [], [], []))
+            if job.cancel_requested:
+                request.cancelled.append(job_id)
+            elif key in self._accepted:
+                request.status_of.append(job_id)
+            elif len(request.partitions) < MAX_PARTITIONS_PER_CALL:
+                request.partitions.append(ArrayPartition(start, count, job.submitted, job.spec))
 
     def status_received(self, shard: int, partition_status: PartitionStatus) -> None:
         """Apply the durable status that another shard reports for its partition of a job."""
--- a/appleshift/sharding/shard_map_follower.py
+++ b/appleshift/sharding/shard_map_follower.py
@@ -1,15 +1,10 @@
-"""Sharding on a node: the shard map, moves of shards between nodes, and calls between shards.
+"""Sharding on a node: follows the shard map and takes part in moves of shards between nodes.
 
 The map is one key of the key-value store. Only the leader of the first shard writes it,
-guarded by its leader key. The leader of every other shard is elected under one version of the
-map and guards that version with each write. So a leader with an outdated map can write
-nothing, and its replies contain only what was durable under that map.
-
-Machines are divided by the order in which they appeared, so the map changes in two steps.
-First it is marked as changing; from then on no other shard can write or elect a leader.
-Then the logs of all shards show which machines were in use, and the new epoch applies to
-all machines with larger names. If the leader fails between the two steps, the mark stays
-and the next leader completes the change.
+guarded by its leader key (``shard_map_updater.py``). The leader of every other shard is
+elected under one version of the map and guards that version with each write. So a leader
+with an outdated map can write nothing, and its replies contain only what was durable under
+that map.
 """
 
 from __future__ import annotations
@@ -21,41 +16,27 @@
 
 import msgspec
 
-from appleshift.contracts import events
 from appleshift.contracts.actions import CallShard
 from appleshift.leader_election.leader_term import LeaderTerm
 from appleshift.leader_election.leader_tracker import PEER_STATUS_VALID_S
 from appleshift.leader_election.peer_monitor import PeerMonitor
 from appleshift.node_context import NodeContext
 from appleshift.node_limits.node_limits import NodeLimits
-from appleshift.protocol import kv, peers
-from appleshift.protocol.sharding import (
-    SHARD_CALL_PATH,
-    SHARD_MAP_KEY,
-    ShardCall,
-    ShardMapEpoch,
-    ShardMapValue,
-    decode_answer,
-    decode_shard_map,
-)
-from appleshift.protocol.wire import ProtocolError, encode
+from appleshift.protocol import peers
+from appleshift.protocol.sharding import SHARD_MAP_KEY, ShardMapValue
+from appleshift.protocol.wire import ProtocolError
 from appleshift.shard_replica import ShardReplica
 from appleshift.sharding import shard_assigner
 from appleshift.sharding.shard_assigner import ControllerLoad, ShardAssigner
-from appleshift.sharding.shard_map import ShardMap, new_epoch
+from appleshift.sharding.shard_calls import ShardCaller
+from appleshift.sharding.shard_map import ShardMap
+from appleshift.sharding.shard_map_updater import ShardMapUpdater
 from appleshift.sharding.sharding import Sharding
-from appleshift.state.cluster_state import ClusterState
 from appleshift.storage.key_value_store import CompareFailedError, StoreError
-from appleshift.storage.keys import shard_prefix
 from appleshift.storage.records import LogReplayer
-from appleshift.storage.recovery import recover
-from appleshift.transport.client import ClientError
-from appleshift.transport.thread_pool import ThreadPool
 
 log = logging.getLogger(__name__)
 
-MAX_CONCURRENT_CALLS = 4
-CALL_TIMEOUT_S = 2.0
 MAP_POLL_INTERVAL_S = 0.5
 STEP_INTERVAL_S = 0.25
 MACHINES_PER_CONNECTION = 1.5
@@ -69,7 +50,7 @@
 class ShardMapFollower:
     """Keeps a node's copy of the shard map and creates the replicas of its shards.
 
-    At the leader of the first shard it also changes the map and requests moves of shards.
+    At the leader of the first shard it also requests moves of shards.
     """
 
     def __init__(
@@ -86,7 +67,8 @@
         self._replicas = replicas
         self._peer_monitor = peer_monitor
         self._add_replica = add_replica
-        self._pool = ThreadPool(context.runtime, "share-call", MAX_CONCURRENT_CALLS)
+        self._caller = ShardCaller(context, replicas)
+        self._updater = ShardMapUpdater(context, replicas)
         self._now = context.runtime.now
         self._started_at = self._now()
         self._next_step_at = 0.0
@@ -99,7 +81,7 @@
 
     def stop(self) -> None:
         """Stop calls to other shards; the thread that follows the map ends with the node."""
-        self._pool.stop()
+        self._caller.stop()
 
     # -- shard map -------------------------------------------------------------------
 
@@ -111,15 +93,11 @@
                     self.shard_map is None
                     or self._peer_monitor.newest_shard_map_version > self.version
                 ):
-                    self._install_map(*self._read_map())
+                    self._install_map(*self._updater.read_map())
             except (StoreError, ProtocolError) as error:
                 log.debug("reading the shard map failed error=%s", error)
             self.context.stop.wait(MAP_POLL_INTERVAL_S)
 
-    def _read_map(self) -> tuple[ShardMapValue | None, int]:
-        item = self.context.store.get(SHARD_MAP_KEY)
-        return (None, 0) if item is None else (decode_shard_map(item.value), item.version)
-
     def _install_map(self, value: ShardMapValue | None, version: int) -> None:
         if value is None or version <= self.version:
             return
@@ -151,7 +129,7 @@
         CompareFailedError if the term is over.
         """
         if not term.shard:
-            self._update_map(term, replayer)
+            self._install_map(*self._updater.update_map(term, replayer))
         elif term.extra_guards != ((SHARD_MAP_KEY, self.version),):
             # Elected under another version of the map: every write would fail its guard.
             raise CompareFailedError([SHARD_MAP_KEY])
@@ -159,79 +137,6 @@
             return None
         return Sharding(term.shard, self.shard_map, self.context.settings.deployment.teams)
 
-    def _update_map(self, term: LeaderTerm, replayer: LogReplayer) -> None:
-        """Change the map to the number of shards that the operators configured.
-
-        Runs at the start of a term of the first shard. A new epoch is also needed if a shard
-        that accepts no new jobs has finished its work.
-        """
-        value, version = self._read_map()
-        wanted_count = self.context.operator.shares
-        if value is None and wanted_count <= 1:
-            return
-        last = ShardMapEpoch(1) if value is None else value.epochs[-1]
-        wanted_count = wanted_count or last.count
-        if value is not None and not value.changing and wanted_count == last.count:
-            retiring = {*last.plain} - {*last.homes}
-            if not retiring or retiring & self._shards_with_work(replayer, retiring):
-                self._install_map(value, version)
-                return
-        machine_types = replayer.cluster.types or self.context.cloud_calls.machine_types()
-        cards = sorted(kind.name for kind in machine_types if kind.gpus > 0)
-        teams = self.context.settings.deployment.teams
-        epochs: list[ShardMapEpoch] = [] if value is None else value.epochs
-        if value is not None:
-            version = self._write_map(term, ShardMapValue(epochs, changing=True), version)
-        shards = self._recovered_shards(replayer, ShardMap(epochs or [last]).shard_count)
-        names = {name for cluster in shards.values() for name in _machine_names(cluster)}
-        busy = {shard for shard, cluster in shards.items() if cluster.jobs and shard in last.plain}
-        if value is None and (names or replayer.cluster.jobs or replayer.cluster.final_states):
-            epochs = [last]
-        new = new_epoch(wanted_count, max(names, default=""), cards, teams, busy)
-        epochs = [*epochs, new]
-        version = self._write_map(term, ShardMapValue(epochs), version)
-        log.info(
-            "shard map installed version=%d epochs=%s",
-            version,
-            msgspec.json.encode(epochs).decode(),
-        )
-        self._install_map(ShardMapValue(epochs), version)
-
-    def _write_map(self, term: LeaderTerm, value: ShardMapValue, version: int) -> int:
-        """Replace ``version`` of the map; returns the new version.
-
-        Raises CompareFailedError if the leader key or the map was changed meanwhile.
-        """
-        value = msgspec.structs.replace(value, mark=term.term_id)
-        guards = [
-            kv.guard(self._replicas[0].election.leader_key, term.leader_key_version),
-            kv.guard(SHARD_MAP_KEY, version),
-        ]
-        put = kv.put(SHARD_MAP_KEY, msgspec.to_builtins(value))
-        try:
-            return self.context.store.compare_and_swap(guards, [put])
-        except CompareFailedError:
-            # An earlier attempt whose response was lost may have been applied.
-            found, version = self._read_map()
-            if found == value:
-                return version
-            raise
-
-    def _recovered_shards(self, replayer: LogReplayer, shard_count: int) -> dict[int, ClusterState]:
-        """The state of each shard, read from its log; ``replayer`` has the first shard's."""
-        deployment = self.context.settings.deployment
-        found = {0: replayer.cluster}
-        for shard in range(1, shard_count):
-            shard_replayer = LogReplayer(ClusterState(deployment.zones, deployment.teams))
-            recover(self.context.store, shard_replayer, shard_prefix(shard))
-            found[shard] = shard_replayer.cluster
-        return found
-
-    def _shards_with_work(self, replayer: LogReplayer, shards: set[int]) -> set[int]:
-        """The shards among ``shards`` that have unfinished jobs."""
-        cluster = self._recovered_shards(replayer, max(shards) + 1)
-        return {shard for shard in shards if cluster[shard].jobs}
-
     # -- assignment of shards ------------------------------------------------------------
 
     def reachable_controllers(self, now: float) -> list[ControllerLoad]:
@@ -355,40 +260,4 @@
 
         The reply, or the failure, is posted as a ``ShardReplyReceived`` event of ``term``.
         """
-        self._pool.submit(self._call_shard, action, term)
-
-    def _call_shard(self, action: CallShard, term: Any) -> None:
-        reply_to = _ReplyToScheduler(self.context.post, term, action.shard)
-        replica = self._replicas.get(action.shard)
-        holder = None if replica is None else replica.election.current_leader()
-        if holder == self.context.settings.name:
-            self.context.post(events.ShardRequestReceived(action.shard, reply_to, action.message))
-            return
-        client = self.context.peer_clients.get(holder or "")
-        reply = None
-        try:
-            if client is not None:
-                body = encode(ShardCall(action.shard, action.message))
-                status, raw = client.request("POST", SHARD_CALL_PATH, body, CALL_TIMEOUT_S)
-                reply = decode_answer(raw) if status == 200 else None
-        except (ClientError, ProtocolError) as error:
-            log.debug("call to shard failed shard=%d error=%s", action.shard, error)
-        reply_to.put((200 if reply is not None else 503, reply, 0))
-
-
-def _machine_names(cluster: ClusterState) -> set[str]:
-    """Names of all machines that the shard has ever used."""
-    return {*cluster.machine_names.names, *cluster.deleted_machines}
-
-
-class _ReplyToScheduler:
-    """The reply channel of a call between shards: posts the reply as an event of the term."""
-
-    def __init__(self, post: Callable[[events.Event], None], term: Any, shard: int) -> None:
-        self._post, self._term, self._shard = post, term, shard
-
-    def put(self, reply: tuple[int, Any, int]) -> None:
-        status, body, _ = reply
-        self._post(
-            events.ShardReplyReceived(self._term, self._shard, body if status == 200 else None)
-        )
+        self._caller.call(action, term)
--- a/appleshift/sharding/sharding.py
+++ b/appleshift/sharding/sharding.py
@@ -13,10 +13,19 @@
 from collections import defaultdict
 from typing import Any
 
+import msgspec
+
 from appleshift.contracts.actions import CallShard
 from appleshift.contracts.interfaces import CapacityNeed
 from appleshift.protocol.settings import TeamLimits
-from appleshift.protocol.sharding import FleetPlan, PartitionReply, PartitionRequest, ShardSummary
+from appleshift.protocol.sharding import (
+    FleetPlan,
+    PartitionReply,
+    PartitionRequest,
+    ShardReply,
+    ShardRequest,
+    ShardSummary,
+)
 from appleshift.protocol.users import Submission
 from appleshift.sharding.array_partitions import ArrayPartitions
 from appleshift.sharding.fleet_summary import FleetSummary
@@ -140,7 +149,7 @@
 
     # -- calls between shards --------------------------------------------------------------
 
-    def request_received(self, message: Any, reply_to: Any) -> None:
+    def request_received(self, message: ShardRequest, reply_to: Any) -> None:
         """Handle a request from the leader of another shard.
 
         The reply is 503 if this leader's lease does not permit to answer, or does not permit
@@ -175,7 +184,7 @@
             self._logged_unknown_shards.add(shard)
             log.warning("call of unknown shard refused shard=%d", shard)
 
-    def reply_received(self, shard: int, reply: Any) -> None:
+    def reply_received(self, shard: int, reply: ShardReply | None) -> None:
         """Apply the reply of another shard to a call; None if the call failed or timed out."""
         self._pending_calls.discard(shard)
         if isinstance(reply, PartitionReply):
@@ -191,9 +200,7 @@
     def _poll_now(self, shard: int) -> None:
         self._next_call_at[shard] = 0.0
 
-    def _call(
-        self, shard: int, message: PartitionRequest | ShardSummary, interval_s: float
-    ) -> None:
+    def _call(self, shard: int, message: ShardRequest, interval_s: float) -> None:
         self._pending_calls.add(shard)
         self._next_call_at[shard] = self._scheduler.now + interval_s
         self._scheduler.actions.append(CallShard(shard, message))
@@ -209,11 +216,10 @@
         outstanding, unconfirmed = self._partitions.outstanding(), self._transfer.unconfirmed()
         for shard in {**outstanding, **unconfirmed}:
             if shard not in self._pending_calls and now >= self._next_call_at[shard]:
-                request = outstanding.get(shard, ([], [], []))
+                request = outstanding.get(shard, PartitionRequest(self.shard))
+                offers = unconfirmed.get(shard, [])
                 self._call(
-                    shard,
-                    PartitionRequest(self.shard, *request, unconfirmed.get(shard, [])),
-                    REQUEST_INTERVAL_S,
+                    shard, msgspec.structs.replace(request, machines=offers), REQUEST_INTERVAL_S
                 )
         if not self.shard:
             self._fleet_summary.step(now)
