--- a/tests/sharding/test_divided_job_cancellation.py
+++ b/tests/sharding/test_divided_job_cancellation.py
@@ -10,6 +10,7 @@
 
 import logging
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 from hypothesis.stateful import run_state_machine_as_test
@@ -20,14 +21,18 @@
 from appleshift.storage import records
 from appleshift.storage.records import Record
 from tests.counted_resources.test_counted_resources_model import DEFECT_SEARCH, DETERMINISTIC
+from tests.sharding.test_sharding import OPERATOR, submit_divided_array
+from tests.support.deployments import SMALL
 from tests.support.durability_check import DurabilityCheckedModel
 from tests.support.sharding_model import HOME, IDS, OTHER, SharesMachine
+from tests.support.simulated_world import World
 
 JOB = IDS[0]
 STAGES = ["not sent", "accepted", "partly done", "done"]
 """Progress of the other shard's partition when the user cancels."""
 ARRIVALS = ["before the failure", "never", "under the successor"]
 """When the other shard receives the calls that the failed leader sent."""
+SIMULATION_SEEDS = range(4000, 4012)
 
 
 @pytest.fixture(autouse=True)
@@ -104,6 +109,42 @@
     run_state_machine_as_test(DurabilityCheckedModel, settings=DETERMINISTIC)
 
 
+def cancel_as_home_leader_fails(world: World, job_id: str) -> None:
+    """Cancel a job once at its home leader, which the store refuses and which fails soon."""
+    job = world.invariants.jobs[job_id]
+    homes = [
+        host
+        for host in world.hosts.values()
+        for replica in (host.node.replicas.values() if host.node else ())
+        if replica.scheduler is not None
+        and (known := replica.scheduler.cluster.job_by_id.get(job_id)) is not None
+        and known.partitions
+    ]
+    assert job.accepted
+    assert len(homes) == 1
+    world.store.unavailable_for.add(homes[0].name)
+    world.sim.after(2.5, partial(world.store.unavailable_for.discard, homes[0].name))
+    world._user(job_id, "cancel", node=homes[0].name, once=True)
+    world.sim.after(world.rng.uniform(1.0, 1.3), partial(homes[0].crash, 3.0))
+
+
+# The same fault in a whole deployment: the user gives up after one request.
+@pytest.mark.parametrize("seed", SIMULATION_SEEDS)
+def test_job_cancelled_once_as_its_home_leader_fails_ends(seed: int) -> None:
+    world = World(seed, OPERATOR, SMALL)
+    world.loss_share = 0.0
+    try:
+        world.run(8.0)
+        job_id = submit_divided_array(world)
+        world.sim.after(
+            world.rng.uniform(1.5, 4.0), partial(cancel_as_home_leader_fails, world, job_id)
+        )
+        world.run(110.0)
+        assert world.invariants.jobs[job_id].reported_state in ("done", "aborted")
+    finally:
+        world.close()
+
+
 def cancellation_is_sent_before_its_request_is_durable(patch: pytest.MonkeyPatch) -> None:
     request_cancellation = ArrayPartitions._request_cancellation
 
