--- a/tests/support/sharding_model.py
+++ b/tests/support/sharding_model.py
@@ -339,3 +339,12 @@
                     self.hand_on(number, pick)
                     if not self.has(share, self.rigs[pick].name):
                         return
+
+
+def answer_calls(model: SharesMachine) -> None:
+    """Deliver all calls of the home shard and, once they are durable, the answers."""
+    while model.calls:
+        model.deliver(0, again=False, answers=False)
+    model.commit(model.shares[OTHER])
+    while model.answers:
+        model.deliver(0, again=False, answers=True)
