--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,12 +33,12 @@
         self.slow = False
         super().__init__(*args, **options)
 
-    def report_port(self, worker: FakeWorker, name: str) -> int:
-        """Return the port of the proxy between a worker and a controller."""
+    def report_address(self, worker: FakeWorker, name: str) -> harness.Address:
+        """Return the address of the proxy between a worker and a controller."""
         key = (worker.machine.name, name)
         if key not in self.report_links:
             self.report_links[key] = links.Link(harness.HOST, self.public[name])
-        return self.report_links[key].port
+        return self.report_links[key].address
 
     def before_commands(self, worker: FakeWorker, body: Any) -> None:
         """Send the worker's periodic report just before the task is started."""
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,12 +21,12 @@
 class LinkedDeployment(harness.Deployment):
     """A deployment whose controllers reach each other through links that can be interrupted."""
 
-    def peer_port(self, name: str, other: str) -> int:
-        """Return the port of the link from ``name`` to ``other``."""
+    def peer_address(self, name: str, other: str) -> harness.Address:
+        """Return the address of the link from ``name`` to ``other``."""
         if not hasattr(self, "links"):
             self.links: dict[tuple[str, str], links.Link] = {}
         link = self.links[name, other] = links.Link(harness.HOST, self.cluster[other])
-        return link.port
+        return link.address
 
 
 def case(deployment: harness.Deployment, trouble: bool) -> bool:
--- a/review/links.py
+++ b/review/links.py
@@ -9,17 +9,17 @@
 
 
 class Link:
-    """Passes connections on to a port; while it is interrupted, bytes are held back in order."""
+    """Passes connections on; while it is interrupted, bytes are held back in order."""
 
-    def __init__(self, host: str, target_port: int) -> None:
-        """Listen at a free port of ``host``, a loopback address, for a port of the same address."""
-        self._host, self._target_port = host, target_port
+    def __init__(self, host: str, target: tuple[str, int]) -> None:
+        """Listen at a free port of ``host``, and pass connections on to ``target``."""
+        self._target = target
         # By direction, True for requests: until when bytes are held back.
         self._held_until = {True: 0.0, False: 0.0}
         self._trigger: tuple[bytes, float, bool] | None = None
         self.interrupted_at: float | None = None
         self._listener = socket.create_server((host, 0))
-        self.port = int(self._listener.getsockname()[1])
+        self.address = (host, int(self._listener.getsockname()[1]))
         threading.Thread(target=self._accept, daemon=True).start()
 
     def interrupt_after(self, request: bytes, for_s: float, answers_only: bool = False) -> None:
@@ -33,7 +33,7 @@
         while True:
             near, _ = self._listener.accept()
             try:
-                far = socket.create_connection((self._host, self._target_port), 1.0)
+                far = socket.create_connection(self._target, 1.0)
             except OSError:
                 near.close()
                 continue
