--- a/appleshift/dispatch/worker_commands.py
+++ b/appleshift/dispatch/worker_commands.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any
 
 from appleshift.contracts.actions import SendCommands
@@ -15,6 +16,8 @@
 from appleshift.state.entities import Machine, TaskRun
 from appleshift.state.states import ASSIGNED, EXITED
 
+log = logging.getLogger(__name__)
+
 RESEND_INTERVAL_S = 1.0
 """Seconds after which a command without visible effect is sent again.
 
@@ -59,7 +62,15 @@
         Starts that were sent before are included if the heartbeat does not list the task.
         """
         self._due_machines.discard(machine.index)
-        return self._derive_commands(machine, resend=True)[0]
+        commands, _ = self._derive_commands(machine, resend=True)
+        if commands:
+            log.debug(
+                "commands in heartbeat response machine=%s epoch=%d seq=%d commands=%s",
+                machine.name,
+                *machine.last_heartbeat_id,
+                commands,
+            )
+        return commands
 
     @staticmethod
     def stop_commands(machine: Machine) -> list[dict[str, Any]]:
@@ -182,6 +193,7 @@
         for key in starts:
             machine.runs[key].unconfirmed_starts += 1
         machine.commands_in_flight = True
+        log.debug("commands sent directly machine=%s commands=%s", machine.name, commands)
         self._scheduler.actions.append(
             SendCommands(
                 machine.name,
