--- a/appleshift/dispatch/worker_commands.py
+++ b/appleshift/dispatch/worker_commands.py
@@ -62,7 +62,9 @@
         Starts that were sent before are included if the heartbeat does not list the task.
         """
         self._due_machines.discard(machine.index)
-        commands, _ = self._derive_commands(machine, resend=True)
+        commands, starts = self._derive_commands(machine, resend=True)
+        for key in starts:
+            machine.runs[key].start_in_response_to = machine.last_heartbeat_id
         if commands:
             log.debug(
                 "commands in heartbeat response machine=%s epoch=%d seq=%d commands=%s",
@@ -105,7 +107,7 @@
             if run.agent_epoch != machine.agent_epoch or not run.assignment_durable:
                 continue
             if run.state == EXITED:
-                if run.exit_durable and not run.unconfirmed_starts:
+                if run.exit_durable and not run.start_in_flight():
                     commands.append(workers.clear_command(run.name, run.attempt))
             elif run.state == ASSIGNED:
                 if self._add_start_commands(run, resend, commands):
--- a/appleshift/scheduler/reconciliation.py
+++ b/appleshift/scheduler/reconciliation.py
@@ -161,8 +161,8 @@
             if run.state == ASSIGNED and not token_seen:
                 # A start command of an earlier leader may still take effect.
                 continue
-            if run.state == EXITED and run.unconfirmed_starts:
-                # A direct start command got no response and may still arrive: keep the attempt.
+            if run.start_in_flight():
+                # The start command may still take effect.
                 continue
             del machine.runs[key]
             if run.state != EXITED:
--- a/appleshift/state/entities.py
+++ b/appleshift/state/entities.py
@@ -53,6 +53,7 @@
         "ordered_this_term",
         "rank",
         "running_since",
+        "start_in_response_to",
         "start_sent",
         "state",
         "stop_grace_s",
@@ -79,10 +80,10 @@
         self.assignment_durable = False
         self.exit_durable = False
         self.start_sent = False
-        # Number of start commands sent directly that got no response. One of them may still
-        # arrive late, so the worker must keep the finished attempt in memory and the leader
-        # sends no command to clear it.
+        # Number of start commands sent directly that got no response.
         self.unconfirmed_starts = 0
+        # Agent epoch and sequence number of the newest heartbeat whose response started the task.
+        self.start_in_response_to: tuple[int, int] | None = None
         # Whether the start was ordered in the current term. The worker rejects late start
         # commands of earlier terms once it has received this term's fencing token.
         self.ordered_this_term = True
@@ -90,6 +91,16 @@
         self.stop_ordered_at = 0.0
         self.running_since = 0.0
 
+    def start_in_flight(self) -> bool:
+        """Return whether a start command of this term may still reach the worker.
+
+        A worker that has cleared the attempt would then run it again. A direct command may
+        arrive late until it is answered. The response to a heartbeat takes effect before the
+        worker sends its next heartbeat, or never.
+        """
+        in_response = self.start_in_response_to == self.machine.last_heartbeat_id
+        return in_response or self.unconfirmed_starts > 0
+
 
 class Job:
     """A submitted job, until it has ended and none of its tasks may be on a machine.
--- a/tests/dispatch/test_worker_commands.py
+++ b/tests/dispatch/test_worker_commands.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
+
 import msgspec
+import pytest
 
 from appleshift.contracts.actions import SendCommands
-from appleshift.protocol.workers import TaskStatus
+from appleshift.protocol.workers import Heartbeat, TaskStatus
+from appleshift.scheduler.reconciliation import HeartbeatReconciler
+from appleshift.state.entities import TaskRun
 from tests.support.scheduler_bench import SchedulerHarness, initial_records
+from tests.support.start_command_histories import StartCommandHistory
+
+HISTORIES = 400
+FIRST, SECOND = "job-000000/0", "job-000000/1"
 
 
 def test_assignment_not_in_heartbeat_is_resent() -> None:
@@ -58,3 +68,92 @@
     assert {command["piece"] for command in bench.report(*remaining)} & {
         task.task for task in remaining
     }
+
+
+def direct_commands(bench: SchedulerHarness) -> list[dict[str, Any]]:
+    """Make all records durable and return the commands that are then sent directly."""
+    bench.commit_all()
+    sent = [action for action in bench.step(0.1) if isinstance(action, SendCommands)]
+    return [command for action in sent for command in action.commands]
+
+
+def answer_direct(
+    bench: SchedulerHarness, starts: tuple[tuple[str, int], ...], second: TaskStatus
+) -> None:
+    """Answer direct commands with a report that lists the second task of the job."""
+    bench.seq += 1
+    tasks = [TaskStatus(FIRST, 1, "running"), second]
+    report = Heartbeat("m", "10.1.0.1:9000", "large", "a", False, 1, bench.seq, 7, tasks)
+    bench.scheduler.commands.commands_sent("m", 1, starts, "done", report)
+
+
+@pytest.mark.parametrize("sent_directly_before", [True, False])
+def test_attempt_is_kept_while_slow_heartbeat_response_may_start_it(
+    sent_directly_before: bool,
+) -> None:
+    """Guards against review/1: a cleared attempt ran again, beside the next one elsewhere."""
+    bench = SchedulerHarness(initial_records())
+    first, key = TaskStatus(FIRST, 1, "running"), (SECOND, 2)
+    bench.report(first)
+    bench.step(0.1)
+    bench.commit_all()
+    if sent_directly_before:
+        assert [command["verb"] for command in direct_commands(bench)] == ["run"]
+    assert [command["verb"] for command in bench.report(first)] == ["run"]
+    machine = bench.scheduler.cluster.machine("m")
+    assert machine is not None
+    if sent_directly_before:
+        answer_direct(bench, (key,), TaskStatus(*key, "running"))
+    bench.scheduler.stop_run(machine.runs[key], 0.0, "preempt")
+    verbs = [command["verb"] for command in direct_commands(bench)]
+    assert verbs == (["kill"] if sent_directly_before else ["run", "kill"])
+    exited = TaskStatus(*key, "exited", "stopped")
+    answer_direct(bench, () if sent_directly_before else (key,), exited)
+    for _ in range(3):
+        bench.scheduler.commands.schedule_send(machine)
+        assert "clear" not in [command["verb"] for command in direct_commands(bench)]
+        answer_direct(bench, (), exited)
+    # A newer heartbeat shows that the worker has read or given up the response.
+    assert {"verb": "clear", "piece": SECOND, "try": 2} in bench.report(first, exited)
+
+
+def test_starts_that_arrive_late_run_no_task_twice() -> None:
+    """Guards against starts of any leader that arrive once the attempt is cleared or freed."""
+    for seed in range(HISTORIES):
+        StartCommandHistory(seed).run()
+
+
+def responses_do_not_count(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(TaskRun, "start_in_flight", lambda run: run.unconfirmed_starts > 0)
+
+
+def unanswered_commands_do_not_count(monkeypatch: pytest.MonkeyPatch) -> None:
+    def in_response(run: TaskRun) -> bool:
+        return run.start_in_response_to == run.machine.last_heartbeat_id
+
+    monkeypatch.setattr(TaskRun, "start_in_flight", in_response)
+
+
+def starts_of_earlier_leaders_do_not_count(monkeypatch: pytest.MonkeyPatch) -> None:
+    original = HeartbeatReconciler._drop_unreported_runs
+
+    def drop(machine: Any, reported: Any, token_seen: bool, exited: Any) -> None:
+        original(machine, reported, True, exited)
+
+    monkeypatch.setattr(HeartbeatReconciler, "_drop_unreported_runs", staticmethod(drop))
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [
+        responses_do_not_count,
+        unanswered_commands_do_not_count,
+        starts_of_earlier_leaders_do_not_count,
+    ],
+)
+def test_planted_defects_run_a_task_twice(
+    monkeypatch: pytest.MonkeyPatch, plant: Callable[[pytest.MonkeyPatch], None]
+) -> None:
+    plant(monkeypatch)
+    with pytest.raises(AssertionError, match="ran twice"):
+        test_starts_that_arrive_late_run_no_task_twice()
