--- a/tests/support/sharding_model.py
+++ b/tests/support/sharding_model.py
@@ -30,8 +30,8 @@
 from appleshift.storage.records import LogReplayer
 from appleshift.storage.write_ahead_log import WriteAheadLog
 from tests.support.builders import KINDS, submission
-from tests.support.counted_resources_model import ModelWorker
 from tests.support.deployments import SMALL
+from tests.support.model_worker import ModelWorker
 from tests.support.scheduler_bench import PermanentLease
 
 MAP = ShardMap([ShardMapEpoch(3, "", ["cards"], [1, 2], [1, 2])])
--- a/tests/support/start_command_histories.py
+++ b/tests/support/start_command_histories.py
@@ -15,8 +15,8 @@
 from appleshift.state.cluster_state import ClusterState
 from appleshift.storage import records
 from tests.support.builders import submission
-from tests.support.counted_resources_model import ModelWorker
 from tests.support.deployments import LEASE_S
+from tests.support.model_worker import ModelWorker
 from tests.support.scheduler_bench import SchedulerHarness
 
 WORKERS = ("m0", "m1")
