--- a/tests/simulation/test_overlapping_failures.py
+++ b/tests/simulation/test_overlapping_failures.py
@@ -16,7 +16,15 @@
 from appleshift.state.entities import Machine
 from tests.support.builders import machine as machine_of
 from tests.support.deployments import CANCEL_S, LARGE, LEASE_S, SMALL, Site
-from tests.support.fault_injection import end_faults, isolated_leader, late_reports, late_writes
+from tests.support.fault_injection import (
+    cancel_now,
+    end_faults,
+    isolated_leader,
+    late_commands,
+    late_reports,
+    late_writes,
+    slow_responses,
+)
 from tests.support.overlapping_failures import (
     RunResult,
     check_single_leader,
@@ -55,6 +63,14 @@
         assert fault_counts[name], f"{name} did not occur"
 
 
+@pytest.mark.slow(60)
+def test_simulated_day_with_slow_responses_keeps_invariants() -> None:
+    day = play(8060, faults=(slow_responses, slow_responses, late_commands, cancel_now))
+    assert day.broken == ""
+    assert day.event_counts["slow response to a heartbeat"] > 50
+    assert day.event_counts["command held up"]
+
+
 # -- 1: old heartbeats after newer ones ---------------------------------------------------------
 
 
