--- a/tests/dispatch/test_worker_commands.py
+++ b/tests/dispatch/test_worker_commands.py
@@ -13,7 +13,7 @@
 from appleshift.scheduler.reconciliation import HeartbeatReconciler
 from appleshift.state.entities import TaskRun
 from tests.support.scheduler_bench import SchedulerHarness, initial_records
-from tests.support.start_command_histories import StartCommandHistory
+from tests.support.start_command_histories import RepeatedCommandHistory, StartCommandHistory
 
 HISTORIES = 400
 FIRST, SECOND = "job-000000/0", "job-000000/1"
@@ -157,3 +157,55 @@
     plant(monkeypatch)
     with pytest.raises(AssertionError, match="ran twice"):
         test_starts_that_arrive_late_run_no_task_twice()
+
+
+def fails(history: RepeatedCommandHistory, key: tuple[str, int]) -> None:
+    history.worker_with(key).tasks[key] = ["exited", "error"]
+
+
+def fails_under_next_leader(history: RepeatedCommandHistory, key: tuple[str, int]) -> None:
+    history.new_leader()
+    fails(history, key)
+
+
+def fails_unknown_to_leader(history: RepeatedCommandHistory, key: tuple[str, int]) -> None:
+    machine = history.bench.scheduler.cluster.machine(history.worker_with(key).name)
+    assert machine is not None
+    del machine.runs[key]
+    fails(history, key)
+
+
+def is_stopped(history: RepeatedCommandHistory, key: tuple[str, int]) -> None:
+    machine = history.bench.scheduler.cluster.machine(history.worker_with(key).name)
+    assert machine is not None
+    history.bench.scheduler.stop_run(machine.runs[key], 0.0, "preempt")
+
+
+def is_cancelled(history: RepeatedCommandHistory, key: tuple[str, int]) -> None:
+    history.cancels_left = 1
+    history.cancel_job()
+
+
+@pytest.mark.parametrize(
+    "end", [fails, fails_under_next_leader, fails_unknown_to_leader, is_stopped, is_cancelled]
+)
+def test_answered_start_that_arrives_again_after_its_clear_runs_nothing(
+    end: Callable[[RepeatedCommandHistory, tuple[str, int]], None],
+) -> None:
+    """Guards against ran_twice: a copy of an answered start ran a cleared attempt again."""
+    history = RepeatedCommandHistory(0)
+    history.exchange_until(lambda: bool(history.answered))
+    starts = list(history.answered)
+    key = starts[0].action.starts[0]
+    worker = history.worker_with(key)
+    end(history, key)
+    history.exchange_until(lambda: key not in worker.tasks)
+    for start in starts:
+        history.arrive(start.action)
+    assert key not in worker.tasks, "a cleared attempt ran again"
+
+
+def test_answered_commands_that_arrive_again_run_no_task_twice() -> None:
+    """Guards against copies of any direct command at any later time, also after a cancellation."""
+    for seed in range(HISTORIES):
+        RepeatedCommandHistory(seed).run()
