--- a/appleshift/dispatch/worker_commands.py
+++ b/appleshift/dispatch/worker_commands.py
@@ -67,9 +67,10 @@
             machine.runs[key].start_in_response_to = machine.last_heartbeat_id
         if commands:
             log.debug(
-                "commands in heartbeat response machine=%s epoch=%d seq=%d commands=%s",
+                "commands in heartbeat response machine=%s epoch=%d seq=%d token=%d commands=%s",
                 machine.name,
                 *machine.last_heartbeat_id,
+                self._scheduler.fencing_token_for(machine),
                 commands,
             )
         return commands
@@ -161,6 +162,16 @@
         if machine is None:
             return
         machine.commands_in_flight = False
+        log.debug(
+            "direct commands answered machine=%s outcome=%s epoch=%d worker_epoch=%s seq=%s"
+            " token=%s",
+            name,
+            outcome,
+            agent_epoch,
+            heartbeat and heartbeat.agent_epoch,
+            heartbeat and heartbeat.seq,
+            heartbeat and heartbeat.fencing_token,
+        )
         for key in starts:
             run = machine.runs.get(key)
             if run is not None and run.agent_epoch == agent_epoch:
@@ -195,16 +206,16 @@
         for key in starts:
             machine.runs[key].unconfirmed_starts += 1
         machine.commands_in_flight = True
-        log.debug("commands sent directly machine=%s commands=%s", machine.name, commands)
+        token = self._scheduler.fencing_token_for(machine)
+        log.debug(
+            "commands sent directly machine=%s epoch=%d token=%d commands=%s",
+            machine.name,
+            machine.agent_epoch,
+            token,
+            commands,
+        )
         self._scheduler.actions.append(
-            SendCommands(
-                machine.name,
-                machine.addr,
-                machine.agent_epoch,
-                commands,
-                starts,
-                self._scheduler.fencing_token_for(machine),
-            )
+            SendCommands(machine.name, machine.addr, machine.agent_epoch, commands, starts, token)
         )
 
 
--- a/appleshift/shard_replica.py
+++ b/appleshift/shard_replica.py
@@ -235,9 +235,12 @@
             self.context.cloud_calls.set_term(term)
         cluster = recovered.replayer.cluster
         log.info(
-            "term started shard=%d token=%d jobs=%d machines=%d recovery_ms=%.0f",
+            "term started shard=%d token=%d leader_version=%d log_entries=%d jobs=%d machines=%d"
+            " recovery_ms=%.0f",
             self.shard,
             term.fencing_token,
+            term.leader_key_version,
+            recovered.recovered_log.next_entry,
             len(cluster.jobs),
             len(cluster.machines),
             (now - began) * 1000,
