--- a/appleshift/contracts/interfaces.py
+++ b/appleshift/contracts/interfaces.py
@@ -88,10 +88,18 @@
         """Apply a heartbeat, unless a newer one of the same agent epoch was already applied."""
         ...
 
+    def first_fencing_token_for(self, machine: Machine) -> int:
+        """Return the lowest token of this term for a machine's worker."""
+        ...
+
     def fencing_token_for(self, machine: Machine) -> int:
         """Return the token for a machine's worker, at least the one that another shard gave it."""
         ...
 
+    def raise_fencing_token(self, machine: Machine) -> None:
+        """Make a machine's worker reject all messages that were sent to it so far."""
+        ...
+
     def stop_run(self, run: TaskRun, grace_s: float, reason: str) -> None:
         """Order a task to stop within ``grace_s`` seconds.
 
--- a/appleshift/dispatch/worker_commands.py
+++ b/appleshift/dispatch/worker_commands.py
@@ -11,6 +11,12 @@
 
 from appleshift.contracts.actions import SendCommands
 from appleshift.contracts.interfaces import SchedulerView
+from appleshift.dispatch.start_fencing import (
+    may_clear,
+    may_clear_unknown,
+    needs_higher_token,
+    record_start,
+)
 from appleshift.protocol import workers
 from appleshift.protocol.workers import Heartbeat
 from appleshift.state.entities import Machine, TaskRun
@@ -62,9 +68,9 @@
         Starts that were sent before are included if the heartbeat does not list the task.
         """
         self._due_machines.discard(machine.index)
-        commands, starts = self._derive_commands(machine, resend=True)
-        for key in starts:
-            machine.runs[key].start_in_response_to = machine.last_heartbeat_id
+        if needs_higher_token(machine, self._scheduler.fencing_token_for(machine)):
+            self._scheduler.raise_fencing_token(machine)
+        commands, _ = self._derive_commands(machine, resend=True)
         if commands:
             log.debug(
                 "commands in heartbeat response machine=%s epoch=%d seq=%d token=%d commands=%s",
@@ -102,21 +108,24 @@
         """
         commands: list[dict[str, Any]] = []
         starts: list[tuple[str, int]] = []
+        token = self._scheduler.fencing_token_for(machine)
+        clears_unknown = may_clear_unknown(machine, token)
         for key, run in machine.runs.items():
             if len(commands) >= MAX_COMMANDS:
                 break
             if run.agent_epoch != machine.agent_epoch or not run.assignment_durable:
                 continue
             if run.state == EXITED:
-                if run.exit_durable and not run.start_in_flight():
+                if run.exit_durable and may_clear(run, token):
                     commands.append(workers.clear_command(run.name, run.attempt))
             elif run.state == ASSIGNED:
                 if self._add_start_commands(run, resend, commands):
+                    record_start(machine, run, token)
                     starts.append(key)
             elif run.stop_grace_s is not None:
                 commands.append(workers.stop_command(run.name, run.attempt, run.stop_grace_s))
         if machine.unknown_runs:
-            _add_commands_for_unknown_runs(machine, commands)
+            _add_commands_for_unknown_runs(machine, clears_unknown, commands)
         return commands, tuple(starts)
 
     def _add_start_commands(
@@ -172,10 +181,6 @@
             heartbeat and heartbeat.seq,
             heartbeat and heartbeat.fencing_token,
         )
-        for key in starts:
-            run = machine.runs.get(key)
-            if run is not None and run.agent_epoch == agent_epoch:
-                run.unconfirmed_starts -= outcome != "unknown"
         if (
             heartbeat is not None
             and heartbeat.machine == name
@@ -184,9 +189,23 @@
             self._scheduler.reconcile(machine, heartbeat)
         # A response counts like one to a probe, and its absence like an unanswered probe.
         self._scheduler.liveness.record_command_result(machine, outcome != "unknown")
-        if outcome != "done":
+        if outcome != "done" and not self._was_overtaken(machine, outcome, agent_epoch, heartbeat):
             machine.avoid_until = max(machine.avoid_until, self._scheduler.now + RESEND_INTERVAL_S)
 
+    def _was_overtaken(
+        self, machine: Machine, outcome: str, agent_epoch: int, heartbeat: Heartbeat | None
+    ) -> bool:
+        """Return whether direct commands were refused only for a later response to a heartbeat.
+
+        That response raised the token, and repeated the starts among the commands.
+        """
+        return (
+            outcome == "refused"
+            and heartbeat is not None
+            and heartbeat.agent_epoch == agent_epoch
+            and heartbeat.fencing_token <= self._scheduler.fencing_token_for(machine)
+        )
+
     def send_due(self) -> None:
         """Send due commands directly instead of in the responses to the next heartbeats."""
         if not self._due_machines or not self._scheduler.lease.may_answer(self._scheduler.now):
@@ -203,8 +222,6 @@
         commands, starts = self._derive_commands(machine, resend=False)
         if not commands:
             return
-        for key in starts:
-            machine.runs[key].unconfirmed_starts += 1
         machine.commands_in_flight = True
         token = self._scheduler.fencing_token_for(machine)
         log.debug(
@@ -224,12 +241,14 @@
     return bool(not machine.deletion_requested and machine.addr and machine.agent_epoch)
 
 
-def _add_commands_for_unknown_runs(machine: Machine, commands: list[dict[str, Any]]) -> None:
-    """Add commands that stop unassigned task attempts, or clear them if they exited."""
+def _add_commands_for_unknown_runs(
+    machine: Machine, clears_unknown: bool, commands: list[dict[str, Any]]
+) -> None:
+    """Add commands that stop unassigned task attempts, or clear them if they may be cleared."""
     for (name, attempt), exited in machine.unknown_runs.items():
         if len(commands) >= MAX_COMMANDS:
             return
-        if exited:
-            commands.append(workers.clear_command(name, attempt))
-        else:
+        if not exited:
             commands.append(workers.stop_command(name, attempt, 0.0))
+        elif clears_unknown:
+            commands.append(workers.clear_command(name, attempt))
--- a/appleshift/leader_election/candidacy.py
+++ b/appleshift/leader_election/candidacy.py
@@ -1,4 +1,4 @@
-"""Candidacy of a node: one transaction writes the leader key and a new fencing token."""
+"""Candidacy of a node: one transaction writes the leader key and takes fencing tokens."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 from typing import Any
 
 from appleshift.leader_election.dependencies import ElectionDependencies
+from appleshift.leader_election.fencing_tokens import first_token_after, last_token_of_term
 from appleshift.leader_election.leader_term import FENCING_TOKEN_KEY, LeaderTerm
 from appleshift.protocol import kv
 from appleshift.storage.key_value_store import (
@@ -114,8 +115,8 @@
     def _propose(self, lease_id: int, extra_guards: tuple[tuple[str, int], ...]) -> _Proposal:
         item = self._store.get(FENCING_TOKEN_KEY)
         version = 0 if item is None else item.version
-        token = 1 if item is None else int(item.value["token"]) + 1
-        token = max(token, self._lease.highest_seen_token + 1)
+        stored_token = 0 if item is None else int(item.value["token"])
+        token = first_token_after(max(stored_token, self._lease.highest_seen_token))
         self._attempt_number += 1
         key, node_name = self._dependencies.leader_key, self._dependencies.node_name
         term_id = f"{self._dependencies.term_id_prefix}.{self._attempt_number}"
@@ -129,7 +130,7 @@
             ],
             changes=[
                 kv.put(key, {"name": node_name, "token": token, "mark": term_id}, lease_id),
-                kv.put(FENCING_TOKEN_KEY, {"token": token}),
+                kv.put(FENCING_TOKEN_KEY, {"token": last_token_of_term(token)}),
             ],
         )
 
--- a/appleshift/leader_election/leader_term.py
+++ b/appleshift/leader_election/leader_term.py
@@ -9,7 +9,7 @@
 LEADER_KEY = "leader"
 """Leader key of the first shard; the node that it names leads the cluster."""
 FENCING_TOKEN_KEY = "token"
-"""Holds the highest fencing token that any election of any shard has used."""
+"""Holds the highest fencing token that any term of any shard may use."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +17,7 @@
     """A term of a shard's leader, from its election until it loses leadership."""
 
     fencing_token: int
+    """The first token of the term; those up to ``last_token_of_term`` are the term's as well."""
     leader_key_version: int
     """Version of the leader key; every write of the term is guarded by it."""
     term_id: str
--- a/appleshift/scheduler/reconciliation.py
+++ b/appleshift/scheduler/reconciliation.py
@@ -39,7 +39,7 @@
         machine.seq = heartbeat.seq
         machine.last_contact_at = scheduler.now
         scheduler.fleet.heartbeat_received(machine, heartbeat)
-        token_seen = heartbeat.fencing_token >= scheduler.fencing_token_for(machine)
+        token_seen = heartbeat.fencing_token >= scheduler.first_fencing_token_for(machine)
         finished: list[TaskRun] = []
         exited: list[TaskRun] = []
         reported: set[tuple[str, int]] = set()
@@ -149,7 +149,7 @@
         """Drop task attempts that the worker did not report.
 
         Those that had not exited before are added to ``exited``. ``token_seen``: the worker
-        has seen the fencing token of this term, so it rejects start commands of earlier
+        has seen a fencing token of this term, so it rejects start commands of earlier
         leaders.
         """
         for key, run in list(machine.runs.items()):
@@ -161,9 +161,6 @@
             if run.state == ASSIGNED and not token_seen:
                 # A start command of an earlier leader may still take effect.
                 continue
-            if run.start_in_flight():
-                # The start command may still take effect.
-                continue
             del machine.runs[key]
             if run.state != EXITED:
                 run.state = EXITED
--- a/appleshift/scheduler/scheduler.py
+++ b/appleshift/scheduler/scheduler.py
@@ -17,6 +17,7 @@
 from appleshift.contracts.actions import Action, Reply
 from appleshift.dispatch.worker_commands import WorkerCommands
 from appleshift.heartbeat_ingest.fast_path import FastPath
+from appleshift.leader_election.fencing_tokens import last_token_of_term
 from appleshift.leader_election.leader_lease import CLOCK_DRIFT_RATIO
 from appleshift.machines.fleet import Fleet
 from appleshift.machines.liveness import MachineLiveness
@@ -77,6 +78,8 @@
         self.sharding = dependencies.sharding
         # The shard is about to be handed over: no job is accepted and no task started.
         self.draining = False
+        # The tokens of this term are used up for some machine.
+        self.needs_new_term = False
         # The key-value store currently accepts no writes.
         self.writes_stalled = False
         self.actions: deque[Action] = deque()
@@ -249,8 +252,8 @@
         """
         self._heartbeat_requests.handle(heartbeat, reply_to, tasks)
 
-    def fencing_token_for(self, machine: Machine) -> int:
-        """Return the fencing token to use for commands to a machine's worker.
+    def first_fencing_token_for(self, machine: Machine) -> int:
+        """Return the lowest fencing token of this term for a machine's worker.
 
         It is never lower than the token of the shard that handed the machine off. No other
         leader uses that token for the machine: the former leader recorded the hand-off,
@@ -258,6 +261,21 @@
         """
         return max(self.fencing_token, machine.min_fencing_token)
 
+    def fencing_token_for(self, machine: Machine) -> int:
+        """Return the fencing token to use for messages to a machine's worker."""
+        return self.first_fencing_token_for(machine) + machine.fencing_token_raises
+
+    def raise_fencing_token(self, machine: Machine) -> None:
+        """Make a machine's worker reject all messages that were sent to it so far.
+
+        Only in the response to a heartbeat: the worker may reject others that are on their way.
+        """
+        token = self.fencing_token_for(machine)
+        if token < last_token_of_term(token):
+            machine.fencing_token_raises += 1
+        else:
+            self.needs_new_term = True
+
     def reconcile(self, machine: Machine, heartbeat: Heartbeat) -> None:
         """Apply a heartbeat, unless a newer one of the same agent epoch was applied."""
         self._reconciler.reconcile(machine, heartbeat)
--- a/appleshift/shard_replica.py
+++ b/appleshift/shard_replica.py
@@ -159,6 +159,8 @@
             self._call_license_servers(scheduler.counted_resources, now)
         for action in scheduler.take_actions():
             self._execute(action)
+        if scheduler.needs_new_term:
+            self.start_hand_over()
         if self._draining_since is not None and (
             scheduler.write_ahead_log.is_idle() or now - self._draining_since > DRAIN_TIMEOUT_S
         ):
--- a/appleshift/state/entities.py
+++ b/appleshift/state/entities.py
@@ -53,13 +53,12 @@
         "ordered_this_term",
         "rank",
         "running_since",
-        "start_in_response_to",
         "start_sent",
+        "start_token",
         "state",
         "stop_grace_s",
         "stop_ordered_at",
         "task",
-        "unconfirmed_starts",
     )
 
     def __init__(
@@ -80,10 +79,8 @@
         self.assignment_durable = False
         self.exit_durable = False
         self.start_sent = False
-        # Number of start commands sent directly that got no response.
-        self.unconfirmed_starts = 0
-        # Agent epoch and sequence number of the newest heartbeat whose response started the task.
-        self.start_in_response_to: tuple[int, int] | None = None
+        # The token of the newest message of this term that carried the start command.
+        self.start_token = 0
         # Whether the start was ordered in the current term. The worker rejects late start
         # commands of earlier terms once it has received this term's fencing token.
         self.ordered_this_term = True
@@ -91,16 +88,6 @@
         self.stop_ordered_at = 0.0
         self.running_since = 0.0
 
-    def start_in_flight(self) -> bool:
-        """Return whether a start command of this term may still reach the worker.
-
-        A worker that has cleared the attempt would then run it again. A direct command may
-        arrive late until it is answered. The response to a heartbeat takes effect before the
-        worker sends its next heartbeat, or never.
-        """
-        in_response = self.start_in_response_to == self.machine.last_heartbeat_id
-        return in_response or self.unconfirmed_starts > 0
-
 
 class Job:
     """A submitted job, until it has ended and none of its tasks may be on a machine.
@@ -240,6 +227,7 @@
         "deletion_requested",
         "draining",
         "fast_path_entry",
+        "fencing_token_raises",
         "free_cpus",
         "free_gpus",
         "free_memory",
@@ -267,6 +255,7 @@
         "slowness",
         "slowness_samples",
         "spot",
+        "start_token",
         "status",
         "transfer_count",
         "type",
@@ -295,6 +284,10 @@
         # The fencing token that the worker may have received from the former shard. The
         # worker rejects commands with a lower token.
         self.min_fencing_token = 0
+        # How often this term has raised the machine's fencing token.
+        self.fencing_token_raises = 0
+        # The token of the newest message of this term that carried a start command.
+        self.start_token = 0
         self.agent_epoch = 0
         self.seq = -1
         self.cpus = spec.cpus
