--- a/appleshift/scheduler/reconciliation.py
+++ b/appleshift/scheduler/reconciliation.py
@@ -101,7 +101,10 @@
         """
         previous_state = run.state
         state = RUN_STATES.get(status.state)
-        if state is None or previous_state in (EXITED, state):
+        if state is None or state == previous_state:
+            return
+        if previous_state == EXITED:
+            self._attempt_restarted(machine, status)
             return
         run.state = state
         if previous_state == ASSIGNED and run.stop_grace_s is not None:
@@ -120,6 +123,17 @@
             self._run_failed(machine, run, reason)
             exited.append(run)
 
+    def _attempt_restarted(self, machine: Machine, status: TaskStatus) -> None:
+        """Have an attempt stopped that has ended and that its worker reports as running again."""
+        log.warning(
+            "ended task attempt runs again machine=%s task=%s attempt=%d",
+            machine.name,
+            status.task,
+            status.attempt,
+        )
+        del machine.runs[status.task, status.attempt]
+        self._record_unknown_run(machine, status)
+
     def _run_succeeded(self, machine: Machine, run: TaskRun) -> None:
         scheduler = self._scheduler
         machine.last_failure_by_job.clear()
--- a/tests/dispatch/test_worker_commands.py
+++ b/tests/dispatch/test_worker_commands.py
@@ -62,6 +62,19 @@
     assert bench.response_token > sent.fencing_token, "the direct start command may still arrive"
 
 
+def test_ended_attempt_reported_as_running_again_is_stopped_at_once() -> None:
+    """Guards against an attempt that ran again to its end, as clears do nothing while it runs."""
+    bench = SchedulerHarness(initial_records())
+    exited = TaskStatus(FIRST, 1, "exited", "error")
+    bench.report(exited)
+    bench.commit_all()
+    assert [command["verb"] for command in bench.report(exited)] == ["clear"]
+    again = bench.report(TaskStatus(FIRST, 1, "running"))
+    assert {"verb": "kill", "piece": FIRST, "try": 1, "wind_down_s": 0.0} in again
+    stopped = bench.report(TaskStatus(FIRST, 1, "exited", "stopped"))
+    assert {"verb": "clear", "piece": FIRST, "try": 1} in stopped
+
+
 def test_token_is_raised_once_for_attempts_that_exited_together() -> None:
     bench = SchedulerHarness(initial_records())
     bench.report(TaskStatus(FIRST, 1, "running"))
