--- a/appleshift/contracts/actions.py
+++ b/appleshift/contracts/actions.py
@@ -43,9 +43,8 @@
     agent_epoch: int
     """The agent epoch for which the commands are meant; a worker in another one refuses them."""
     commands: list[dict[str, Any]]
-    starts: tuple[tuple[str, int], ...] = ()
-    """(task, attempt) of each start command in ``commands``."""
-    fencing_token: int = 0
+    fencing_token: int
+    """The token of the message; a worker that has received a higher one refuses it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/appleshift/contracts/events.py
+++ b/appleshift/contracts/events.py
@@ -143,7 +143,6 @@
 
     machine: str
     agent_epoch: int
-    starts: tuple[tuple[str, int], ...]
     outcome: str
     """``done``, ``refused``, or ``unknown`` if there was no response."""
     heartbeat: Heartbeat | None
--- a/appleshift/dispatch/worker_calls.py
+++ b/appleshift/dispatch/worker_calls.py
@@ -106,9 +106,7 @@
         except (ClientError, ProtocolError, ValueError) as error:
             log.debug("direct command failed machine=%s error=%s", action.machine, error)
         self._post(
-            events.CommandsSent(
-                term, action.machine, action.agent_epoch, action.starts, outcome, heartbeat
-            )
+            events.CommandsSent(term, action.machine, action.agent_epoch, outcome, heartbeat)
         )
 
     def _probe(self, action: ProbeMachine, term: Any) -> None:
--- a/appleshift/dispatch/worker_commands.py
+++ b/appleshift/dispatch/worker_commands.py
@@ -70,7 +70,7 @@
         self._due_machines.discard(machine.index)
         if needs_higher_token(machine, self._scheduler.fencing_token_for(machine)):
             self._scheduler.raise_fencing_token(machine)
-        commands, _ = self._derive_commands(machine, resend=True)
+        commands = self._derive_commands(machine, resend=True)
         if commands:
             log.debug(
                 "commands in heartbeat response machine=%s epoch=%d seq=%d token=%d commands=%s",
@@ -99,18 +99,15 @@
         ]
         return (stops + unknown_stops)[:MAX_COMMANDS]
 
-    def _derive_commands(
-        self, machine: Machine, resend: bool
-    ) -> tuple[list[dict[str, Any]], tuple[tuple[str, int], ...]]:
-        """Return the commands for a worker and the (task, attempt) keys of their starts.
+    def _derive_commands(self, machine: Machine, resend: bool) -> list[dict[str, Any]]:
+        """Return the commands for a worker, and record which attempts they start.
 
         ``resend``: include starts that were sent before and are not in a heartbeat yet.
         """
         commands: list[dict[str, Any]] = []
-        starts: list[tuple[str, int]] = []
         token = self._scheduler.fencing_token_for(machine)
         clears_unknown = may_clear_unknown(machine, token)
-        for key, run in machine.runs.items():
+        for run in machine.runs.values():
             if len(commands) >= MAX_COMMANDS:
                 break
             if run.agent_epoch != machine.agent_epoch or not run.assignment_durable:
@@ -121,12 +118,11 @@
             elif run.state == ASSIGNED:
                 if self._add_start_commands(run, resend, commands):
                     record_start(machine, run, token)
-                    starts.append(key)
             elif run.stop_grace_s is not None:
                 commands.append(workers.stop_command(run.name, run.attempt, run.stop_grace_s))
         if machine.unknown_runs:
             _add_commands_for_unknown_runs(machine, clears_unknown, commands)
-        return commands, tuple(starts)
+        return commands
 
     def _add_start_commands(
         self, run: TaskRun, resend: bool, commands: list[dict[str, Any]]
@@ -158,14 +154,12 @@
         self,
         name: str,
         agent_epoch: int,
-        starts: tuple[tuple[str, int], ...],
         outcome: str,
         heartbeat: Heartbeat | None,
     ) -> None:
         """Handle the outcome of direct commands: ``done``, ``refused`` or ``unknown``.
 
-        ``starts``: (task, attempt) keys of the start commands among them. ``heartbeat``:
-        from the worker's response, if it has one.
+        ``heartbeat``: from the worker's response, if it has one.
         """
         machine = self._scheduler.cluster.machine(name)
         if machine is None:
@@ -219,7 +213,7 @@
                 self._send_to(machine)
 
     def _send_to(self, machine: Machine) -> None:
-        commands, starts = self._derive_commands(machine, resend=False)
+        commands = self._derive_commands(machine, resend=False)
         if not commands:
             return
         machine.commands_in_flight = True
@@ -232,7 +226,7 @@
             commands,
         )
         self._scheduler.actions.append(
-            SendCommands(machine.name, machine.addr, machine.agent_epoch, commands, starts, token)
+            SendCommands(machine.name, machine.addr, machine.agent_epoch, commands, token)
         )
 
 
--- a/appleshift/shard_event_handlers.py
+++ b/appleshift/shard_event_handlers.py
@@ -64,7 +64,7 @@
 
 def _commands_sent(scheduler: Scheduler, event: events.CommandsSent) -> None:
     scheduler.commands.commands_sent(
-        event.machine, event.agent_epoch, event.starts, event.outcome, event.heartbeat
+        event.machine, event.agent_epoch, event.outcome, event.heartbeat
     )
 
 
