--- a/appleshift/dispatch/worker_commands.py
+++ b/appleshift/dispatch/worker_commands.py
@@ -11,6 +11,7 @@
 
 from appleshift.contracts.actions import SendCommands
 from appleshift.contracts.interfaces import SchedulerView
+from appleshift.dispatch.command_counts import LOG_INTERVAL_S, CommandCounts
 from appleshift.dispatch.start_fencing import (
     may_clear,
     may_clear_unknown,
@@ -48,6 +49,7 @@
         """Derive commands from the cluster state of ``scheduler``."""
         self._scheduler = scheduler
         self._due_machines: set[int] = set()
+        self._counts = CommandCounts(scheduler.now + LOG_INTERVAL_S)
 
     def __len__(self) -> int:
         """Return the number of machines to which commands are due."""
@@ -70,6 +72,7 @@
         self._due_machines.discard(machine.index)
         if needs_higher_token(machine, self._scheduler.fencing_token_for(machine)):
             self._scheduler.raise_fencing_token(machine)
+            self._counts.tokens_raised += 1
         commands = self._derive_commands(machine, resend=True)
         if commands:
             log.debug(
@@ -161,6 +164,7 @@
 
         ``heartbeat``: from the worker's response, if it has one.
         """
+        self._counts.record_result(outcome)
         machine = self._scheduler.cluster.machine(name)
         if machine is None:
             return
@@ -202,6 +206,7 @@
 
     def send_due(self) -> None:
         """Send due commands directly instead of in the responses to the next heartbeats."""
+        self._counts.log_if_due(self._scheduler.now, self._scheduler.fencing_token)
         if not self._due_machines or not self._scheduler.lease.may_answer(self._scheduler.now):
             return
         for index in list(self._due_machines):
@@ -217,6 +222,7 @@
         if not commands:
             return
         machine.commands_in_flight = True
+        self._counts.sent += 1
         token = self._scheduler.fencing_token_for(machine)
         log.debug(
             "commands sent directly machine=%s epoch=%d token=%d commands=%s",
--- a/tests/dispatch/test_worker_commands.py
+++ b/tests/dispatch/test_worker_commands.py
@@ -10,6 +10,7 @@
 
 from appleshift.contracts.actions import SendCommands
 from appleshift.dispatch import worker_commands
+from appleshift.dispatch.command_counts import LOG_INTERVAL_S
 from appleshift.dispatch.worker_commands import WorkerCommands
 from appleshift.leader_election.fencing_tokens import last_token_of_term
 from appleshift.protocol.workers import Heartbeat, TaskStatus
@@ -88,6 +89,22 @@
         assert bench.response_token == sent.fencing_token + 1
 
 
+def test_counts_of_direct_commands_and_raised_tokens_are_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO", logger="appleshift.dispatch.command_counts")
+    bench = SchedulerHarness(initial_records())
+    bench.report(TaskStatus(FIRST, 1, "running"))
+    bench.step(0.1)
+    bench.commit_all()
+    assert direct_commands(bench)
+    bench.scheduler.commands.commands_sent("m", 1, "unknown", None)
+    bench.report(TaskStatus(FIRST, 1, "exited", "error"), TaskStatus(SECOND, 2, "exited", "error"))
+    bench.step(LOG_INTERVAL_S)
+    expected = f"direct commands token={TOKEN} sent=1 refused=0 unanswered=1 tokens_raised=1"
+    assert caplog.messages == [expected]
+
+
 def test_term_whose_tokens_are_used_up_keeps_attempts_and_asks_for_new_term() -> None:
     bench = SchedulerHarness(initial_records())
     bench.report(TaskStatus(FIRST, 1, "running"))
