--- a/tests/dispatch/test_worker_commands.py
+++ b/tests/dispatch/test_worker_commands.py
@@ -122,6 +122,24 @@
     assert bench.scheduler.needs_new_term
 
 
+def test_machine_with_single_token_of_older_version_keeps_attempts_and_asks_for_new_term() -> None:
+    """Guards against a raised token that a later leader of an older version takes for its own."""
+    bench = SchedulerHarness(initial_records())
+    machine = bench.scheduler.cluster.machine("m")
+    assert machine is not None
+    single_token = machine.min_fencing_token = last_token_of_term(LATER_TOKEN) + 1
+    bench.report(TaskStatus(FIRST, 1, "running"), token=single_token)
+    bench.step(0.1)
+    bench.commit_all()
+    assert [command["verb"] for command in direct_commands(bench)] == ["run"]
+    tasks = [TaskStatus(FIRST, 1, "running"), TaskStatus(SECOND, 2, "exited", "error")]
+    for _ in range(3):
+        assert bench.report(*tasks, token=single_token) == []
+        bench.commit_all()
+    assert bench.response_token == single_token
+    assert bench.scheduler.needs_new_term
+
+
 def test_command_overtaken_by_response_with_higher_token_keeps_machine_in_use() -> None:
     """Guards against a machine without new tasks for a second after each raised token."""
     bench = SchedulerHarness(initial_records())
