--- a/appleshift/api/freshness.py
+++ b/appleshift/api/freshness.py
@@ -11,6 +11,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from appleshift.api.context import ApiContext
 from appleshift.api.responses import SchedulerReply, respond, unavailable
 from appleshift.api.shard_interfaces import ShardReplicaView
@@ -19,6 +21,8 @@
 from appleshift.transport.client import HttpResponse
 from appleshift.transport.http_messages import Response
 
+log = logging.getLogger(__name__)
+
 VALID_FOR_HEADER = "Valid-For-Ms"
 """Header with the remaining time of the responding node's leader lease, in milliseconds, for
 peers that forward the response."""
@@ -59,11 +63,25 @@
         valid_for_s = replica.lease.valid_for_s(self._context.runtime.now())
         if valid_for_s <= 0.0 or (response.status == 404 and reported_state is not None):
             return unavailable()
+        log.debug(
+            "job answer sent job=%s status=%d state=%s token=%d valid_for_ms=%d",
+            job_id,
+            response.status,
+            reported_state,
+            replica.lease.fencing_token,
+            valid_for_s * 1000,
+        )
         headers = {**response.headers, VALID_FOR_HEADER: str(int(valid_for_s * 1000))}
         return Response(response.status, response.body, headers)
 
     def forwarded_response(self, answer: HttpResponse, asked_at: float) -> Response:
         """A leader's answer to a request forwarded at ``asked_at``; 503 once it is outdated."""
+        log.debug(
+            "answer of the leader received status=%d age_ms=%.0f valid_for_ms=%s",
+            answer.status,
+            (self._context.runtime.now() - asked_at) * 1000,
+            answer.valid_for_ms,
+        )
         headers = {"Retry-After": answer.retry_after} if answer.retry_after else {}
         valid_for_ms = answer.valid_for_ms
         if valid_for_ms is None or not valid_for_ms.isdecimal():
