--- a/appleshift/api/router.py
+++ b/appleshift/api/router.py
@@ -71,9 +71,7 @@
             node.shard_map,
         )
         freshness = ResponseFreshness(context)
-        forwarder = Forwarder(
-            context, freshness, lambda request: self._route(request, forwarded=True)
-        )
+        forwarder = Forwarder(context, lambda request: self._route(request, forwarded=True))
         self._users = UserEndpoints(context, forwarder, freshness)
         self._workers = WorkerEndpoints(context, node.connections_nearly_full, node.on_heartbeat)
         self._peers = PeerEndpoints(context, node.is_worker_reachable, node.own_status)
--- a/appleshift/api/shard_interfaces.py
+++ b/appleshift/api/shard_interfaces.py
@@ -6,6 +6,7 @@
 
 from appleshift.leader_election.election import LeaderElection
 from appleshift.leader_election.leader_lease import LeaderLease
+from appleshift.leader_election.read_leases import ReadLeases
 from appleshift.protocol import workers
 
 
@@ -22,6 +23,11 @@
         """This node's information about the shard's leader lease; another node may hold it."""
         ...
 
+    @property
+    def read_leases(self) -> ReadLeases:
+        """The read leases that this node has granted as the shard's leader."""
+        ...
+
     def has_machine(self, machine: str) -> bool:
         """Whether this node's scheduler of the shard has a machine of that name."""
         ...
--- a/appleshift/api/user_endpoints.py
+++ b/appleshift/api/user_endpoints.py
@@ -8,7 +8,7 @@
 
 from appleshift.api.context import ApiContext
 from appleshift.api.forwarding import Forwarder
-from appleshift.api.freshness import ResponseFreshness
+from appleshift.api.freshness import ResponseFreshness, all_unknown
 from appleshift.api.responses import respond, unavailable
 from appleshift.api.shard_interfaces import ShardReplicaView
 from appleshift.contracts import events
@@ -139,11 +139,13 @@
         shard_map = self._context.shard_map()
         if forwarded or shard_map is None:
             return self._ask_named_shard(call, forwarded)
+        unknown: list[Response] = []
         for shard in shard_map.home_shards(job_id):
             response = self._follow_redirect(self._ask_shard(shard, call), call)
             if response.status != 404:
-                break
-        return response
+                return response
+            unknown.append(response)
+        return all_unknown(unknown)
 
     def _ask_named_shard(self, call: JobCall, forwarded: bool) -> Response:
         """Send a call to the shard in its query string; shard 0 if it has none."""
@@ -157,15 +159,18 @@
         if replica is None:
             return unavailable()
         if not self._context.is_led_elsewhere(replica):
-            return self._ask_here(replica, call.make_event(target))
-        return self._forwarder.forward(replica, call.request, forwarded, call.wait_for_election)
+            return self._ask_here(replica, call.make_event(target), forwarded)
+        return self._forwarder.forward_job_request(
+            replica, call.request, forwarded, call.wait_for_election
+        )
 
-    def _ask_here(self, replica: ShardReplicaView, event: JobEvent) -> Response:
+    def _ask_here(self, replica: ShardReplicaView, event: JobEvent, forwarded: bool) -> Response:
         """This node's response as the leader of a shard."""
+        request = self._freshness.received(replica, event.job_id, forwarded)
         reply = self._context.ask_scheduler(event)
         if reply is None:
             return unavailable()
-        return self._freshness.revalidated_before_sending(reply, replica, event.job_id)
+        return self._freshness.revalidated_before_sending(reply, request)
 
     def _ask_shard(self, shard: int, call: JobCall, forwarded_by_home: bool = False) -> Response:
         """The response of a shard's leader, either this node or a peer."""
@@ -176,11 +181,11 @@
             return unavailable()
         if not self._context.is_led_elsewhere(replica):
             target = ShardTarget(shard, forwarded_by_home, version)
-            return self._ask_here(replica, call.make_event(target))
+            return self._ask_here(replica, call.make_event(target), forwarded=False)
         request = call.request
         query = f"?share={shard}&map={version}" + ("&homed=1" if forwarded_by_home else "")
         path = urlsplit(request.path).path + query
-        return self._forwarder.forward(
+        return self._forwarder.forward_job_request(
             replica, Request(request.method, path, request.body), False, call.wait_for_election
         )
 
--- a/appleshift/shard_replica.py
+++ b/appleshift/shard_replica.py
@@ -21,6 +21,7 @@
 from appleshift.leader_election.leader_lease import LeaderLease
 from appleshift.leader_election.leader_term import LeaderTerm
 from appleshift.leader_election.log_committer import LogCommitter
+from appleshift.leader_election.read_leases import ReadLeases
 from appleshift.node_context import NodeContext
 from appleshift.objectives.achieved_objectives import AchievedObjectives
 from appleshift.placement.counted_resource_interfaces import CountedResources
@@ -53,6 +54,7 @@
         self.shard = shard
         runtime, operator = context.runtime, context.operator
         self.lease = LeaderLease([*context.peer_clients], operator.pledge_s, runtime.now())
+        self.read_leases = ReadLeases()
         self.election = LeaderElection(
             ElectionDependencies(
                 node_name=context.settings.name,
@@ -214,6 +216,7 @@
     def _begin_term(self, term: LeaderTerm) -> None:
         """Recover the durable state and create the scheduler, which then answers requests."""
         began = self.context.runtime.now()
+        self.read_leases.begin_term(began)
         try:
             recovered = recover_term(self.context, term, lambda: self._may_recover(term))
         except CompareFailedError as error:
