--- a/tests/simulation/test_random_cluster.py
+++ b/tests/simulation/test_random_cluster.py
@@ -17,5 +17,7 @@
     assert summary.broken == []
     assert summary.kills >= SECONDS // 10
     assert summary.starts > summary.jobs > summary.cancelled > 0
+    assert summary.holds >= SECONDS // 2
+    assert summary.watched[200] > summary.jobs
     assert summary.repeats["POST /do"]
     assert summary.repeats["POST /agent/beat"]
