--- a/tests/scheduler/test_node_limits.py
+++ b/tests/scheduler/test_node_limits.py
@@ -132,6 +132,7 @@
 def test_admission_under_load_sheds_users_before_workers_with_retry_after() -> None:
     load = SimpleNamespace(factor=0.0)
     node: Any = SimpleNamespace(node_name="n0", current_leader=lambda: "n0", is_leader=True)
+    node.fencing_token = 1
     node.may_answer = lambda now: True
     node.current_relayed_fraction = lambda: 0.0
     node.unchanged_response = lambda report, now: None
--- a/tests/test_public_surface.py
+++ b/tests/test_public_surface.py
@@ -211,6 +211,10 @@
             assert status == expected["answerStatus"], expected["requestLine"]
             assert field_paths(answer) == expected["answerFields"], expected["requestLine"]
             assert headers == expected["answerHeaders"], expected["requestLine"]
+            if "forwardedHeaders" in expected:
+                # A peer passes the answer on, for as long as the header says.
+                forwarded = cluster.answer(method, path, expected["requestBody"], "cluster")
+                assert forwarded == (status, answer, expected["forwardedHeaders"])
         cluster.run(30.0)
         sent = cluster.sent()
     finally:
