--- a/tests/support/loopback_cluster.py
+++ b/tests/support/loopback_cluster.py
@@ -349,7 +349,8 @@
             "together": False, "spread": False, "loaners": False, "expected_s": 1.0,
             "snapshot_every_s": 0.0, "snapshot_cost_s": 0.0, "due_s": None, **changes,
         }  # fmt: skip
-        self.invariants.jobs[job_id] = ObservedJob(spec)
+        with self.clock.lock:
+            self.invariants.jobs[job_id] = ObservedJob(spec)
         return job_id
 
     def submit(self, number: int, **changes: Any) -> str:
