--- a/review/support-2/cluster.py
+++ b/review/support-2/cluster.py
@@ -315,6 +315,8 @@
         self.names = ["rig-0", "rig-1", "rig-2"]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.closing = False
+        self._closing_lock = threading.Lock()
+        """Held while a node is started again, so that none is started after ``close``."""
         self.store = FakeKeyValueStore(self.clock, site.write_rps, site.value_kb, site.txn_ops)
         self.cloud = FakeCloud(
             self.clock, site.kinds, site.capacity, site.list_lag_s, self._boot, self._end
@@ -438,14 +440,19 @@
             time.sleep(0.2)
             for name in self.names:
                 if name in due:
-                    if time.monotonic() >= due[name] and not self.closing:
+                    if time.monotonic() >= due[name]:
                         del due[name]
-                        self.start_node(name)
+                        self._start_again(name)
                 elif (used := self.resident_mb(name)) > limit_mb:
                     self.kill_node(name, f"{used:.0f} MB are over its {limit_mb:.0f} MB")
                     self.ended_for_memory.append(name)
                     due[name] = time.monotonic() + self.site.restart_s
 
+    def _start_again(self, name: str) -> None:
+        with self._closing_lock:
+            if not self.closing:
+                self.start_node(name)
+
     def leader(self, timeout: float = 20.0) -> str:
         """Wait until a node says that it leads, and return its name."""
         until = time.monotonic() + timeout
@@ -644,7 +651,8 @@
 
     def close(self) -> None:
         """End all processes that were started."""
-        self.closing = True
+        with self._closing_lock:
+            self.closing = True
         for process in self.processes.values():
             with contextlib.suppress(OSError):
                 process.kill()
