--- a/review/support-2/cluster.py
+++ b/review/support-2/cluster.py
@@ -53,6 +53,7 @@
 HEARTBEAT_TIMEOUT_S = 4.0
 MIN_HEARTBEAT_INTERVAL_S = 0.5
 USER_TIMEOUT_S = 5.0
+MIN_PORT, MAX_PORT = 10_000, 32_000
 MAX_RECORDED_PIECES = 10
 """Starts and ends of the tasks of larger jobs are counted only."""
 
@@ -236,12 +237,24 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that are free now."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return neighbouring loopback ports that are free now.
+
+    They are below the ports that the system gives away, so no stand-in takes one meanwhile.
+    """
+    choose = random.SystemRandom()
+    while True:
+        first = choose.randrange(MIN_PORT, MAX_PORT, count)
+        sockets: list[socket.socket] = []
+        try:
+            for port in range(first, first + count):
+                # One by one: those opened before an error are closed below.
+                sockets.append(socket.create_server(("127.0.0.1", port)))  # noqa: PERF401
+        except OSError:
+            continue
+        finally:
+            for each in sockets:
+                each.close()
+        return list(range(first, first + count))
 
 
 class HttpConnection:
@@ -312,7 +325,9 @@
         self.rentals: list[tuple[float, str, int, int]] = []
         """Rental requests: time, machine type, machines wanted, status of the answer."""
         self.ended_for_memory: list[str] = []
-        self.names = ["rig-0", "rig-1", "rig-2"]
+        run = f"{os.getpid():x}"
+        self.names = [f"rig-{number}-{run}" for number in range(3)]
+        """Unique to this run, so that another run's nodes are not taken for these."""
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.closing = False
         self._closing_lock = threading.Lock()
@@ -459,6 +474,8 @@
         while time.monotonic() < until:
             for name in self.names:
                 status, body = self.ask(name, "GET", "/nodes", None, 1.0)
+                if status == 200 and body["name"] != name:
+                    raise CannotRunError(f"another program has the port of {name}")
                 if status == 200 and body["leading"]:
                     return name
             time.sleep(0.1)
